--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 PACKAGES = build-essential cmake pkg-config clang clang-format clang-tidy \
   libclang-rt-14-dev rpcsvc-proto libtirpc-dev libmicrohttpd-dev \
   libneon27-gnutls-dev liburcu-dev liblog4c-dev libjansson-dev \
-  libsodium-dev libxxhash-dev libgsl-dev libgtest-dev libbenchmark-dev \
+  libev-dev libhttp-parser-dev libsodium-dev libxxhash-dev libgsl-dev libgtest-dev libbenchmark-dev \
   gnuplot-nox
 
 all: build
--- a/src/cmd.h
+++ b/src/cmd.h
@@ -9,6 +9,7 @@
 #include "settings.h"
 
 int cmd_daemon (int argc, char **argv);
+int cmd_sidecar (int argc, char **argv);
 int cmd_check (int argc, char **argv);
 int cmd_status (int argc, char **argv);
 int cmd_publish (int argc, char **argv);
--- /dev/null
+++ b/src/edge/entry_point.h
@@ -0,0 +1,91 @@
+#ifndef REDWINGFORD_ENTRY_POINT_H
+#define REDWINGFORD_ENTRY_POINT_H
+
+/* Where requests begin: callers of this VM, and the backend server beside it
+   calling on.  Each request is one object that is read, admitted, placed,
+   sent and answered; every end goes through one place.  */
+
+#include "edge/event_log.h"
+#include "edge/http_server.h"
+#include "edge/peer.h"
+#include "edge/runner.h"
+#include "mesh/dialect.h"
+#include "mesh/fleet.h"
+#include "mesh/quota.h"
+
+typedef struct entry_point_t entry_point_t;
+
+/* END (identifier, name): how a request ended at its entry point.  */
+#define ENTRY_END_TABLE(END)                                                  \
+  END (ANSWERED, "answered")                                                  \
+  END (NO_CONFIG, "config-none")                                              \
+  END (NO_ROUTE, "route-unknown")                                             \
+  END (NO_KEY, "key-unknown")                                                 \
+  END (BAD_REQUEST, "bad-request")                                            \
+  END (RATE, "rate-exceeded")                                                 \
+  END (PRESSURE, "overload")                                                  \
+  END (NO_ROOM, "no-room")                                                    \
+  END (DEADLINE, "deadline-passed")                                           \
+  END (UNKNOWN, "outcome-unknown")                                            \
+  END (BROKEN, "answer-broken")                                               \
+  END (GONE, "caller-gone")
+
+typedef enum entry_end_t
+{
+#define ENTRY_END_ENUM(id, name) ENTRY_##id,
+  ENTRY_END_TABLE (ENTRY_END_ENUM)
+#undef ENTRY_END_ENUM
+      ENTRY_END_COUNT
+} entry_end_t;
+
+/* Static storage.  */
+const char *entry_end_name (entry_end_t end);
+
+/* All borrowed.  */
+typedef struct entry_parts_t
+{
+  loop_t *loop;
+  const dialect_t *dialect;
+  const rng_t *rng;
+  event_log_t *log;
+  fleet_t *fleet;
+  quota_t *quota;
+  peer_set_t *peers;
+  runner_t *runner;
+  const char *service; /* of the backend server beside this sidecar */
+  uint32_t server_ip;  /* requests from there are calls of that server */
+  double retry_reserve; /* second sendings in a window without first ones */
+} entry_parts_t;
+
+entry_point_t *entry_new (const entry_parts_t *parts);
+void entry_free (entry_point_t *entry);
+
+/* POLICY is borrowed until the next call; NULL is none yet.  */
+void entry_set_policy (entry_point_t *entry, const policy_t *policy);
+
+/* Sidecars in the fleet, this one included.  */
+void entry_set_sidecars (entry_point_t *entry, uint32_t sidecars);
+
+/* The handler of the callers' listener.  */
+http_handler_t entry_handler (entry_point_t *entry);
+
+typedef struct entry_state_t
+{
+  uint32_t open;
+  uint64_t ends[ENTRY_END_COUNT];
+  uint64_t retries[CAUSE_COUNT]; /* sent again, by why */
+  uint64_t calls;                /* of the backend server beside */
+  uint64_t local;                /* placed on the own VM */
+  uint64_t remote;
+  uint64_t latency_us[24]; /* count by power of two of microseconds */
+} entry_state_t;
+
+entry_state_t entry_state (const entry_point_t *entry);
+
+/* Calls that the backend server has made to each service.  */
+typedef void (*entry_visit_t) (void *ctx, const char *service,
+                               uint64_t count);
+void entry_each_callee (const entry_point_t *entry, entry_visit_t visit,
+                        void *ctx);
+
+#endif
--- /dev/null
+++ b/src/edge/http_client.h
@@ -0,0 +1,91 @@
+#ifndef REDWINGFORD_HTTP_CLIENT_H
+#define REDWINGFORD_HTTP_CLIENT_H
+
+/* HTTP/1.1 client of one server on the event loop: a pool of kept
+   connections, each with one request at a time.  */
+
+#include "edge/fields.h"
+#include "edge/loop.h"
+
+typedef struct http_client_t http_client_t;
+typedef struct http_call_t http_call_t;
+
+typedef enum http_fault_t
+{
+  HTTP_FAULT_CONNECT,  /* no connection; nothing was sent */
+  HTTP_FAULT_STALE,    /* a kept connection ended without a byte back */
+  HTTP_FAULT_CUT,      /* ended before the answer was whole */
+  HTTP_FAULT_GARBLED,  /* bytes that are no answer */
+  HTTP_FAULT_REJECTED, /* the handler rejected the answer's head */
+  HTTP_FAULT_COUNT
+} http_fault_t;
+
+const char *http_fault_name (http_fault_t fault);
+
+typedef enum http_verdict_t
+{
+  HTTP_TAKE, /* it answers this request */
+  HTTP_SKIP, /* it answers another one; wait for the next */
+  HTTP_REJECT
+} http_verdict_t;
+
+typedef struct http_reply_handler_t
+{
+  /* LENGTH is -1 when the answer has none.  */
+  http_verdict_t (*head) (void *ctx, int status, const fields_t *fields,
+                          int64_t length);
+  void (*body) (void *ctx, const char *data, size_t size);
+  /* The last callback of a call: one of these two.  */
+  void (*end) (void *ctx);
+  void (*fault) (void *ctx, http_fault_t fault);
+  void *ctx; /* borrowed */
+} http_reply_handler_t;
+
+typedef struct http_client_options_t
+{
+  int64_t connect_timeout_us;
+  int64_t idle_us;     /* a connection idle for longer is not used again */
+  uint32_t silence_ms; /* for the server's machine to acknowledge data */
+} http_client_options_t;
+
+/* LOOP is borrowed.  */
+http_client_t *http_client_new (loop_t *loop, endpoint_addr_t addr,
+                                const http_client_options_t *options);
+/* Ends open calls without a callback.  */
+void http_client_free (http_client_t *client);
+
+typedef struct http_request_t
+{
+  const char *head; /* request line, fields and the empty line */
+  size_t head_size;
+  const char *body;
+  size_t body_size;
+  bool fresh;   /* on a new connection */
+  bool no_body; /* the answer has none: HEAD */
+} http_request_t;
+
+/* Sends REQUEST, which is copied.  The callbacks come later, never from
+   within this call.  */
+http_call_t *http_client_call (http_client_t *client,
+                               const http_request_t *request,
+                               const http_reply_handler_t *handler);
+
+/* Closes the call's connection; no callback follows.  */
+void http_call_cancel (http_call_t *call);
+
+/* Stops or goes on reading the answer.  */
+void http_call_pause (http_call_t *call, bool pause);
+
+/* Closes the idle connections: the server behind them has changed.  */
+void http_client_forget (http_client_t *client);
+
+typedef struct http_client_state_t
+{
+  uint32_t connections;
+  uint32_t idle;
+  uint64_t opened;
+} http_client_state_t;
+
+http_client_state_t http_client_state (const http_client_t *client);
+
+#endif
--- /dev/null
+++ b/src/edge/http_server.h
@@ -0,0 +1,118 @@
+#ifndef REDWINGFORD_HTTP_SERVER_H
+#define REDWINGFORD_HTTP_SERVER_H
+
+/* HTTP/1.1 server on the event loop.  Hands out whole requests; answers are
+   written in the order of the requests of a connection, whole or in pieces.
+   Malformed requests are refused here (400, 408, 413, 431).  */
+
+#include "edge/fields.h"
+#include "edge/loop.h"
+
+typedef struct http_server_t http_server_t;
+typedef struct http_exchange_t http_exchange_t;
+
+typedef struct http_limits_t
+{
+  uint32_t header_bytes;
+  uint64_t body_bytes;
+  int64_t header_timeout_us; /* for a request's whole head */
+  int64_t body_timeout_us;   /* between two pieces of a body */
+  int64_t idle_timeout_us;   /* between requests */
+  uint32_t pipelined;        /* requests read ahead on one connection */
+  uint64_t bodies_bytes;     /* held for all callers together */
+  uint64_t unread_bytes;     /* of answers that one caller has not read */
+} http_limits_t;
+
+typedef struct http_handler_t
+{
+  /* A whole request.  It is answered by http_respond or http_begin, at once
+     or later.  */
+  void (*request) (void *ctx, http_exchange_t *exchange);
+  /* The caller left before the answer was written.  The exchange is freed on
+     return.  */
+  void (*gone) (void *ctx, http_exchange_t *exchange);
+  /* The caller has read on: more of the answer may be written.  May be NULL. */
+  void (*drained) (void *ctx, http_exchange_t *exchange);
+  void *ctx; /* borrowed */
+} http_handler_t;
+
+typedef enum http_answer_state_t
+{
+  HTTP_ANSWER_NONE,
+  HTTP_ANSWER_BEGUN,
+  HTTP_ANSWER_ENDED
+} http_answer_state_t;
+
+struct http_connection_t;
+
+struct http_exchange_t
+{
+  const char *method; /* static storage */
+  bytes_t target;     /* NUL-terminated path and query */
+  fields_t fields;
+  bytes_t body;
+  int64_t begun_us; /* when its first byte was read */
+  int64_t read_us;  /* when its last byte was read */
+  uint32_t peer_ip; /* host order */
+  void *user;       /* the handler's */
+  /* Private.  */
+  struct http_connection_t *connection;
+  http_exchange_t *next;
+  bytes_t out;
+  http_answer_state_t answer;
+  bool handed; /* the handler has it */
+  bool chunked;
+  bool close_after;
+  bool no_body; /* the request was HEAD */
+  bool old;     /* HTTP/1.0 */
+};
+
+/* Listens on ADDR.  LOOP and HANDLER's context are borrowed; LIMITS are
+   copied.  NULL with *error set.  */
+http_server_t *http_server_new (loop_t *loop, endpoint_addr_t addr,
+                                const http_limits_t *limits,
+                                const http_handler_t *handler,
+                                error_info_t *error);
+
+/* Closes all connections without calling the handler.  */
+void http_server_free (http_server_t *server);
+
+void http_server_set_limits (http_server_t *server,
+                             const http_limits_t *limits);
+
+/* From now on each answer closes its connection, and connections on which
+   nothing waits are closed.  */
+void http_server_drain (http_server_t *server);
+
+/* No new connections are accepted.  */
+void http_server_stop_listening (http_server_t *server);
+
+uint16_t http_server_port (const http_server_t *server);
+
+typedef struct http_server_state_t
+{
+  uint32_t connections;
+  uint32_t exchanges; /* read and not yet answered */
+  uint64_t body_bytes;
+  uint64_t malformed;
+} http_server_state_t;
+
+http_server_state_t http_server_state (const http_server_t *server);
+
+/* A whole answer.  HEADERS is text of whole lines, or NULL.  The exchange
+   must not be used afterwards.  */
+void http_respond (http_exchange_t *exchange, int status, const char *headers,
+                   size_t headers_size, const void *body, size_t size);
+
+/* An answer in pieces.  LENGTH is -1 when it is not known yet.  */
+void http_begin (http_exchange_t *exchange, int status, const char *headers,
+                 size_t headers_size, int64_t length);
+void http_piece (http_exchange_t *exchange, const void *data, size_t size);
+/* The exchange must not be used after either of these.  */
+void http_end (http_exchange_t *exchange);
+void http_abort (http_exchange_t *exchange); /* closes the connection */
+
+/* Bytes of the answer that the caller has not taken yet.  */
+size_t http_unread (const http_exchange_t *exchange);
+
+#endif
--- /dev/null
+++ b/src/edge/loop.c
@@ -0,0 +1,180 @@
+#include "edge/loop.h"
+
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+  LISTEN_BACKLOG = 4096, /* connections of all callers after a restart */
+  /* Keep-alive probes show a path that went silent within three seconds.  */
+  PROBE_IDLE_S = 1,
+  PROBE_PERIOD_S = 1,
+  PROBE_COUNT = 2
+};
+
+static void
+run_tasks (loop_t *loop)
+{
+  while (loop->first != NULL)
+    {
+      loop_task_t *task = loop->first;
+      loop->first = task->next;
+      if (loop->first == NULL)
+        loop->last = &loop->first;
+      task->queued = false;
+      task->run (task->ctx);
+    }
+}
+
+static void
+before_wait (struct ev_loop *ev, ev_prepare *prepare, int events)
+{
+  (void)ev;
+  (void)events;
+  run_tasks (prepare->data);
+}
+
+static void
+after_wait (struct ev_loop *ev, ev_check *check, int events)
+{
+  loop_t *loop = check->data;
+  (void)ev;
+  (void)events;
+  loop->now_us = clock_now_us (loop->clock);
+  loop->turns++;
+}
+
+bool
+loop_open (loop_t *loop, const clock_source_t *clock, error_info_t *error)
+{
+  *loop = (loop_t){ .clock = clock };
+  loop->last = &loop->first;
+  loop->ev = ev_loop_new (EVBACKEND_EPOLL | EVFLAG_NOENV);
+  if (loop->ev == NULL)
+    return error_set (error, ERROR_IO, NULL,
+                      "no epoll descriptor; raise the limit of descriptors");
+  loop->now_us = clock_now_us (clock);
+  ev_prepare_init (&loop->prepare, before_wait);
+  loop->prepare.data = loop;
+  ev_prepare_start (loop->ev, &loop->prepare);
+  ev_check_init (&loop->check, after_wait);
+  loop->check.data = loop;
+  /* Ahead of all other callbacks, so that they see the new time.  */
+  ev_set_priority (&loop->check, EV_MAXPRI);
+  ev_check_start (loop->ev, &loop->check);
+  return true;
+}
+
+void
+loop_close (loop_t *loop)
+{
+  if (loop->ev != NULL)
+    ev_loop_destroy (loop->ev);
+  loop->ev = NULL;
+}
+
+void
+loop_defer (loop_t *loop, loop_task_t *task)
+{
+  if (task->queued)
+    return;
+  task->queued = true;
+  task->next = NULL;
+  *loop->last = task;
+  loop->last = &task->next;
+}
+
+void
+loop_drop (loop_t *loop, loop_task_t *task)
+{
+  if (!task->queued)
+    return;
+  loop_task_t **at = &loop->first;
+  while (*at != task)
+    at = &(*at)->next;
+  *at = task->next;
+  if (*at == NULL)
+    loop->last = at;
+  task->queued = false;
+}
+
+void
+loop_timer (loop_t *loop, ev_timer *timer, int64_t after_us)
+{
+  timer->repeat = after_us > 0 ? (double)after_us / US_PER_S : 1e-6;
+  ev_timer_again (loop->ev, timer);
+}
+
+struct sockaddr_in
+loop_sockaddr (endpoint_addr_t addr)
+{
+  struct sockaddr_in to = { .sin_family = AF_INET };
+  to.sin_addr.s_addr = htonl (addr.ip);
+  to.sin_port = htons (addr.port);
+  return to;
+}
+
+int
+loop_listen (endpoint_addr_t addr, error_info_t *error)
+{
+  char text[ADDR_TEXT_BYTES];
+  int on = 1;
+  struct sockaddr_in at = loop_sockaddr (addr);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+  settings_format_addr (addr, text);
+  if (fd >= 0
+      && setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) == 0
+      && bind (fd, (struct sockaddr *)&at, sizeof at) == 0
+      && listen (fd, LISTEN_BACKLOG) == 0)
+    return fd;
+  error_set (error, ERROR_IO, NULL, "cannot listen on %s: %s; free the port",
+             text, strerror (errno));
+  if (fd >= 0)
+    close (fd);
+  return -1;
+}
+
+void
+loop_tune (int fd, uint32_t silence_ms)
+{
+  int on = 1;
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  if (silence_ms > 0)
+    setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms,
+                sizeof silence_ms);
+}
+
+static void
+probe_when_idle (int fd)
+{
+  int on = 1;
+  int idle_s = PROBE_IDLE_S;
+  int period_s = PROBE_PERIOD_S;
+  int count = PROBE_COUNT;
+  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &period_s, sizeof period_s);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof count);
+}
+
+int
+loop_connect (endpoint_addr_t addr, uint32_t silence_ms)
+{
+  struct sockaddr_in to = loop_sockaddr (addr);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    return -1;
+  loop_tune (fd, silence_ms);
+  probe_when_idle (fd);
+  if (connect (fd, (struct sockaddr *)&to, sizeof to) == 0
+      || errno == EINPROGRESS)
+    return fd;
+  int cause = errno;
+  close (fd);
+  errno = cause;
+  return -1;
+}
--- /dev/null
+++ b/src/edge/loop.h
@@ -0,0 +1,61 @@
+#ifndef REDWINGFORD_LOOP_H
+#define REDWINGFORD_LOOP_H
+
+/* The event loop of a daemon: libev, one thread, one clock reading a turn.
+   Work that is cheaper in batches (socket writes) is queued as a task and
+   done once before the loop waits again.  */
+
+#include <ev.h>
+#include <netinet/in.h>
+
+#include "clock.h"
+#include "errinfo.h"
+#include "settings.h"
+
+typedef struct loop_task_t
+{
+  struct loop_task_t *next;
+  void (*run) (void *ctx);
+  void *ctx;
+  bool queued;
+} loop_task_t;
+
+typedef struct loop_t
+{
+  struct ev_loop *ev;
+  const clock_source_t *clock; /* borrowed */
+  int64_t now_us;              /* monotonic, as of this turn */
+  loop_task_t *first;          /* tasks due at the end of this turn */
+  loop_task_t **last;
+  ev_prepare prepare;
+  ev_check check;
+  uint64_t turns;
+} loop_t;
+
+/* CLOCK is borrowed.  False when the kernel gives no epoll descriptor.  */
+bool loop_open (loop_t *loop, const clock_source_t *clock,
+                error_info_t *error);
+void loop_close (loop_t *loop);
+
+/* Runs TASK once before the loop next waits; nothing if it is queued.  */
+void loop_defer (loop_t *loop, loop_task_t *task);
+
+/* Takes TASK back; its owner is going away.  */
+void loop_drop (loop_t *loop, loop_task_t *task);
+
+/* A timer in microseconds on libev's clock.  Restarts when it is active.  */
+void loop_timer (loop_t *loop, ev_timer *timer, int64_t after_us);
+
+/* A non-blocking listening socket, or -1 with *error set.  */
+int loop_listen (endpoint_addr_t addr, error_info_t *error);
+
+/* A non-blocking socket that connects to ADDR, or -1.  Data that the peer
+   does not acknowledge for SILENCE_MS resets it.  */
+int loop_connect (endpoint_addr_t addr, uint32_t silence_ms);
+
+/* Options of an accepted socket: no delay, and SILENCE_MS as above.  */
+void loop_tune (int fd, uint32_t silence_ms);
+
+struct sockaddr_in loop_sockaddr (endpoint_addr_t addr);
+
+#endif
--- /dev/null
+++ b/src/edge/metrics.c
@@ -0,0 +1,98 @@
+#include "edge/metrics.h"
+
+#include <sys/resource.h>
+
+static void
+put (bytes_t *to, const char *name, uint64_t value)
+{
+  bytes_format (to, "redwingford_%s %llu\n", name, (unsigned long long)value);
+}
+
+static void
+put_labelled (bytes_t *to, const char *name, const char *label,
+              const char *which, uint64_t value)
+{
+  bytes_format (to, "redwingford_%s{%s=\"%s\"} %llu\n", name, label, which,
+                (unsigned long long)value);
+}
+
+static void
+put_entry (bytes_t *to, const entry_state_t *entry)
+{
+  put (to, "requests_open", entry->open);
+  put (to, "backend_calls_total", entry->calls);
+  put (to, "placed_local_total", entry->local);
+  put (to, "placed_remote_total", entry->remote);
+  for (int i = 0; i < ENTRY_END_COUNT; i++)
+    put_labelled (to, "requests_total", "end",
+                  entry_end_name ((entry_end_t)i), entry->ends[i]);
+  for (int i = 0; i < CAUSE_COUNT; i++)
+    if (entry->retries[i] > 0)
+      put_labelled (to, "retries_total", "cause", cause_name ((cause_t)i),
+                    entry->retries[i]);
+  uint64_t sum = 0;
+  for (int i = 0; i < 24; i++)
+    {
+      sum += entry->latency_us[i];
+      bytes_format (to, "redwingford_latency_us_bucket{le=\"%llu\"} %llu\n",
+                    2ULL << i, (unsigned long long)sum);
+    }
+}
+
+static void
+put_runner (bytes_t *to, const runner_state_t *runner,
+            const server_load_t *load)
+{
+  put (to, "runs_total", runner->started);
+  put (to, "runs_answered_total", runner->ended);
+  put (to, "health_checks_total", runner->probes);
+  put (to, "backend_connections", runner->connections.connections);
+  put (to, "backend_connections_opened_total", runner->connections.opened);
+  for (int i = 0; i < CAUSE_COUNT; i++)
+    if (runner->faults[i] > 0)
+      put_labelled (to, "runs_refused_total", "cause",
+                    cause_name ((cause_t)i), runner->faults[i]);
+  put (to, "backend_running", load->running);
+  put (to, "backend_queued", load->queued);
+  put (to, "backend_window", load->window);
+  put (to, "backend_pressure_permille", load->pressure_permille);
+}
+
+static void
+put_process (bytes_t *to, const metrics_parts_t *parts)
+{
+  struct rusage usage;
+  if (getrusage (RUSAGE_SELF, &usage) == 0)
+    {
+      put (to, "cpu_us_total",
+           (uint64_t)(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec)
+                   * US_PER_S
+               + (uint64_t)(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec));
+      put (to, "memory_peak_kb", (uint64_t)usage.ru_maxrss);
+    }
+  put (to, "loop_turns_total", parts->loop->turns);
+  put (to, "log_lines_total", parts->log->written);
+  put (to, "log_lines_lost_total", parts->log->lost);
+}
+
+void
+metrics_write (bytes_t *to, const metrics_parts_t *parts)
+{
+  put_entry (to, &parts->entry);
+  put_runner (to, &parts->runner, &parts->load);
+  put (to, "peers", parts->peers.members);
+  put (to, "peers_up", parts->peers.up);
+  put (to, "peer_links_lost_total", parts->peers.lost);
+  put (to, "peer_frames_in_total", parts->peers.frames_in);
+  put (to, "peer_frames_out_total", parts->peers.frames_out);
+  put (to, "peer_bytes_out_total", parts->peers.bytes_out);
+  put (to, "store_reads_total", parts->store.reads);
+  put (to, "store_writes_total", parts->store.writes);
+  put (to, "store_failures_total", parts->store.failures);
+  put (to, "store_bytes_in_total", parts->store.bytes_in);
+  put (to, "store_reachable", parts->store.reachable);
+  put (to, "caller_connections", parts->callers.connections);
+  put (to, "caller_malformed_total", parts->callers.malformed);
+  put (to, "config_version", parts->config_version);
+  put_process (to, parts);
+}
--- /dev/null
+++ b/src/edge/operator_feed.c
@@ -0,0 +1,216 @@
+#include "edge/operator_feed.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct zone_record_t
+{
+  char name[NAME_BYTES];
+  bool out;
+  bool seen; /* in the snapshot that is being read */
+  int64_t offset;
+} zone_record_t;
+
+struct operator_feed_t
+{
+  const dialect_t *dialect;
+  event_log_t *log;
+  operator_handler_t handler;
+  policy_t *policy;
+  bytes_t text;
+  zone_record_t zones[ZONES_OUT_MAX];
+  uint32_t zone_count;
+  int64_t offset;
+};
+
+operator_feed_t *
+operator_feed_new (const dialect_t *dialect, event_log_t *log,
+                   const operator_handler_t *handler)
+{
+  operator_feed_t *feed = calloc (1, sizeof *feed);
+  if (feed == NULL)
+    abort ();
+  feed->dialect = dialect;
+  feed->log = log;
+  feed->handler = *handler;
+  return feed;
+}
+
+void
+operator_feed_free (operator_feed_t *feed)
+{
+  if (feed == NULL)
+    return;
+  policy_free (feed->policy);
+  bytes_free (&feed->text);
+  free (feed);
+}
+
+static void
+take_policy (operator_feed_t *feed, const char *text, size_t size,
+             const char *source)
+{
+  error_info_t error = { .kind = ERROR_NONE };
+  policy_t *policy = feed->dialect->parse_policy (text, size, &error);
+  if (policy == NULL)
+    {
+      event_log (feed->log, EVENT_BELIEF, "config-rejected",
+                 "source=%s at=\"%s\" error=\"%s\"", source, error.path,
+                 error.message);
+      return;
+    }
+  if (feed->policy != NULL && policy->version <= feed->policy->version)
+    {
+      policy_free (policy);
+      return;
+    }
+  policy_t *old = feed->policy;
+  feed->policy = policy;
+  bytes_consume (&feed->text, bytes_size (&feed->text));
+  bytes_append (&feed->text, text, size);
+  event_log (feed->log, EVENT_BELIEF, "config-taken",
+             "version=%llu before=%llu source=%s routes=%zu accounts=%zu",
+             (unsigned long long)policy->version,
+             (unsigned long long)(old != NULL ? old->version : 0), source,
+             policy->route_count, policy->account_count);
+  feed->handler.policy (feed->handler.ctx, policy);
+  policy_free (old);
+}
+
+static zone_record_t *
+zone_find_or_add (operator_feed_t *feed, const char *name)
+{
+  for (uint32_t i = 0; i < feed->zone_count; i++)
+    if (strcmp (feed->zones[i].name, name) == 0)
+      return &feed->zones[i];
+  if (feed->zone_count == ZONES_OUT_MAX)
+    return NULL;
+  zone_record_t *zone = &feed->zones[feed->zone_count++];
+  *zone = (zone_record_t){ .offset = -1 };
+  snprintf (zone->name, sizeof zone->name, "%s", name);
+  return zone;
+}
+
+static void
+set_zone (operator_feed_t *feed, zone_record_t *zone, bool out,
+          int64_t offset)
+{
+  bool changed = zone->out != out;
+  zone->out = out;
+  zone->offset = offset;
+  if (!changed)
+    return;
+  event_log (feed->log, EVENT_BELIEF, out ? "zone-out" : "zone-back",
+             "zone=%s offset=%lld", zone->name, (long long)offset);
+  feed->handler.zones (feed->handler.ctx);
+}
+
+void
+operator_feed_snapshot_begin (void *ctx)
+{
+  operator_feed_t *feed = ctx;
+  for (uint32_t i = 0; i < feed->zone_count; i++)
+    feed->zones[i].seen = false;
+}
+
+void
+operator_feed_record (void *ctx, const keyed_record_t *record)
+{
+  operator_feed_t *feed = ctx;
+  char name[NAME_BYTES];
+  operator_kind_t kind
+      = feed->dialect->operator_kind (record, name, sizeof name);
+  if (record->offset >= feed->offset)
+    feed->offset = record->offset + 1;
+  if (kind == OPERATOR_CONFIG && record->value != NULL)
+    take_policy (feed, record->value, record->value_size, "store");
+  zone_record_t *zone
+      = kind == OPERATOR_ZONE_OUT ? zone_find_or_add (feed, name) : NULL;
+  if (zone == NULL)
+    return;
+  zone->seen = true;
+  if (record->offset > zone->offset)
+    set_zone (feed, zone, record->value != NULL, record->offset);
+}
+
+/* A snapshot may be behind what is known already.  */
+void
+operator_feed_snapshot_end (void *ctx, int64_t end)
+{
+  operator_feed_t *feed = ctx;
+  for (uint32_t i = 0; i < feed->zone_count; i++)
+    {
+      zone_record_t *zone = &feed->zones[i];
+      if (!zone->seen && zone->out && zone->offset < end)
+        set_zone (feed, zone, false, end - 1);
+    }
+  if (end > feed->offset)
+    feed->offset = end;
+}
+
+bool
+operator_feed_zone_is_out (const operator_feed_t *feed, const char *zone)
+{
+  for (uint32_t i = 0; i < feed->zone_count; i++)
+    if (feed->zones[i].out && strcmp (feed->zones[i].name, zone) == 0)
+      return true;
+  return false;
+}
+
+const policy_t *
+operator_feed_policy (const operator_feed_t *feed)
+{
+  return feed->policy;
+}
+
+uint64_t
+operator_feed_version (const operator_feed_t *feed)
+{
+  return feed->policy != NULL ? feed->policy->version : 0;
+}
+
+int64_t
+operator_feed_offset (const operator_feed_t *feed)
+{
+  return feed->offset;
+}
+
+operator_state_t
+operator_feed_state (const operator_feed_t *feed)
+{
+  operator_state_t state = {
+    .version = operator_feed_version (feed),
+    .offset = feed->offset,
+    .text = bytes_data (&feed->text),
+    .size = bytes_size (&feed->text),
+  };
+  for (uint32_t i = 0; i < feed->zone_count; i++)
+    if (feed->zones[i].out)
+      state.zones_out[state.zone_count++] = feed->zones[i].name;
+  return state;
+}
+
+static bool
+names_zone (const operator_state_t *state, const char *name)
+{
+  for (uint32_t i = 0; i < state->zone_count; i++)
+    if (strcmp (state->zones_out[i], name) == 0)
+      return true;
+  return false;
+}
+
+void
+operator_feed_merge (operator_feed_t *feed, const operator_state_t *state)
+{
+  if (state->size > 0 && state->version > operator_feed_version (feed))
+    take_policy (feed, state->text, state->size, "peer");
+  if (state->offset <= feed->offset)
+    return;
+  for (uint32_t i = 0; i < state->zone_count; i++)
+    zone_find_or_add (feed, state->zones_out[i]);
+  for (uint32_t i = 0; i < feed->zone_count; i++)
+    set_zone (feed, &feed->zones[i],
+              names_zone (state, feed->zones[i].name), state->offset - 1);
+  feed->offset = state->offset;
+}
--- /dev/null
+++ b/src/edge/peer.h
@@ -0,0 +1,111 @@
+#ifndef REDWINGFORD_PEER_H
+#define REDWINGFORD_PEER_H
+
+/* Links between sidecars.  One TCP connection for a pair of sidecars carries
+   all calls in both directions as XDR frames, and a report every period.  A
+   connection that brings nothing for PEER_SILENCE_US is closed and opened
+   anew, so that a silent path is noticed without its help.  */
+
+#include "edge/bytes.h"
+#include "edge/loop.h"
+#include "mesh/call.h"
+#include "mesh/mesh_proto.h"
+
+enum
+{
+  PEER_REPORT_US = 250 * US_PER_MS,  /* between two reports */
+  PEER_SILENCE_US = 1000 * US_PER_MS /* four reports */
+};
+
+typedef struct peer_set_t peer_set_t;
+typedef struct peer_t peer_t;
+typedef struct peer_call_t peer_call_t;     /* sent by this sidecar */
+typedef struct peer_stream_t peer_stream_t; /* served by this sidecar */
+
+typedef struct peer_handler_t
+{
+  /* Fills the report for a link that has just opened, or for all.  The
+     strings and lists are borrowed until the call that asked returns.  */
+  void (*make_report) (void *ctx, mesh_report *report);
+  void (*report) (void *ctx, peer_t *peer, const mesh_report *report);
+  /* The last connection to PEER has ended.  */
+  void (*down) (void *ctx, peer_t *peer);
+  /* A call to serve.  It is answered by peer_stream_reply and so on, or
+     refused at once by peer_stream_fail.  The call is borrowed.  */
+  void (*call) (void *ctx, peer_stream_t *stream, const forward_call_t *call);
+  /* The caller gave up (GONE) or its link was lost.  The stream is freed on
+     return.  */
+  void (*cancel) (void *ctx, peer_stream_t *stream, bool gone);
+  /* The caller took data: more may be sent.  */
+  void (*credit) (void *ctx, peer_stream_t *stream);
+  void (*want_document) (void *ctx, peer_t *peer);
+  void (*document) (void *ctx, peer_t *peer, const mesh_document *document);
+  void *ctx; /* borrowed */
+} peer_handler_t;
+
+/* Listens on ADDR, which names this sidecar.  */
+peer_set_t *peer_set_new (loop_t *loop, endpoint_addr_t addr,
+                    const peer_handler_t *handler, error_info_t *error);
+void peer_set_free (peer_set_t *peers);
+
+/* The address that was bound.  */
+vm_id_t peer_set_vm (const peer_set_t *peers);
+
+/* A member of the fleet: a link to it is kept up.  */
+void peer_set_add (peer_set_t *peers, vm_id_t vm);
+/* No member any more: it is not dialled again.  */
+void peer_set_remove (peer_set_t *peers, vm_id_t vm);
+
+/* Sends reports, dials what is down, closes what is silent.  Call it every
+   PEER_REPORT_US.  */
+void peer_set_tick (peer_set_t *peers);
+
+/* Sends a report now, since something changed.  */
+void peer_set_report (peer_set_t *peers);
+
+peer_t *peer_set_find (peer_set_t *peers, vm_id_t vm);
+vm_id_t peer_vm (const peer_t *peer);
+bool peer_is_up (const peer_t *peer);
+uint64_t peer_incarnation (const peer_t *peer); /* 0 before its first report */
+
+typedef void (*peer_visit_t) (void *ctx, peer_t *peer);
+void peer_set_each (peer_set_t *peers, peer_visit_t visit, void *ctx);
+
+/* Sends CALL; SINK hears what comes of it.  NULL when there is no link or it
+   is congested: nothing was sent.  */
+peer_call_t *peer_call (peer_t *peer, const forward_call_t *call,
+                        const call_sink_t *sink);
+
+/* No callback follows.  */
+void peer_call_cancel (peer_call_t *call);
+
+/* SIZE bytes of the answer were taken by the caller.  */
+void peer_call_took (peer_call_t *call, size_t size);
+
+/* The answer of a call that is served.  */
+void peer_stream_reply (peer_stream_t *stream, const call_reply_t *reply,
+                        const char *body, size_t size, bool last);
+void peer_stream_body (peer_stream_t *stream, const char *data, size_t size,
+                       bool last);
+void peer_stream_fail (peer_stream_t *stream, const call_failure_t *failure);
+/* More than a window of data waits for the caller.  */
+bool peer_stream_is_full (const peer_stream_t *stream);
+void peer_stream_set_user (peer_stream_t *stream, void *user);
+void *peer_stream_user (const peer_stream_t *stream);
+
+void peer_want_document (peer_t *peer);
+void peer_send_document (peer_t *peer, mesh_document *document);
+
+typedef struct peer_set_state_t
+{
+  uint32_t members;
+  uint32_t up;
+  uint64_t lost; /* connections that ended */
+  uint64_t frames_in;
+  uint64_t frames_out;
+  uint64_t bytes_out;
+} peer_set_state_t;
+
+peer_set_state_t peer_set_state (const peer_set_t *peers);
+
+#endif
--- /dev/null
+++ b/src/edge/runner.h
@@ -0,0 +1,84 @@
+#ifndef REDWINGFORD_RUNNER_H
+#define REDWINGFORD_RUNNER_H
+
+/* Runs calls on the backend server beside this sidecar.  It is the one place
+   that sends to that server, so it alone knows what runs, and which attempts
+   that must run once have run.  */
+
+#include "edge/http_client.h"
+#include "mesh/call.h"
+#include "mesh/dialect.h"
+#include "mesh/intake.h"
+#include "mesh/server_view.h"
+
+typedef struct runner_t runner_t;
+typedef struct run_t run_t;
+
+typedef struct runner_handler_t
+{
+  /* The backend server cannot be reached (NULL), or says that it is the
+     instance of that id.  */
+  void (*server_lost) (void *ctx, const char *server_id);
+  /* A run has ended with FAULT, for the log.  */
+  void (*faulted) (void *ctx, const char *attempt_id, const char *server_id,
+                   cause_t cause);
+  void *ctx; /* borrowed */
+} runner_handler_t;
+
+/* All are borrowed.  CALLER's incarnation decides whether a question about an
+   earlier call can be answered.  */
+runner_t *runner_new (loop_t *loop, const dialect_t *dialect,
+                      endpoint_addr_t server, uint64_t incarnation,
+                      const runner_handler_t *handler);
+void runner_free (runner_t *runner);
+
+/* SERVER_ID is the instance that requests are meant for.  */
+void runner_set_server (runner_t *runner, const intake_server_t *server,
+                        const char *server_id);
+
+typedef enum start_t
+{
+  START_TAKEN,   /* runs or waits; *run stands until its last callback */
+  START_REFUSED, /* at once; *failure says why */
+  START_ANSWERED /* SINK has been given an answer that was kept */
+} start_t;
+
+/* Starts or queues CALL, which is copied.  SINK's callbacks end with the last
+   part of the answer or a failure.  */
+start_t runner_start (runner_t *runner, const forward_call_t *call,
+                      const call_sink_t *sink, run_t **run,
+                      call_failure_t *failure);
+
+/* The caller is gone; no callback follows.  A run that must not be broken off
+   goes on, and its answer is kept for a question about it.  */
+void run_cancel (run_t *run);
+/* The way to the caller is lost; the same.  */
+void run_detach (run_t *run);
+
+/* Stops or goes on reading the answer.  */
+void run_pause (run_t *run, bool pause);
+
+/* Starts what waits and can.  Returns when it is next due.  */
+int64_t runner_tick (runner_t *runner);
+
+server_load_t runner_load (const runner_t *runner);
+int64_t runner_run_us (const runner_t *runner);
+uint32_t runner_open (const runner_t *runner); /* runs that have not ended */
+
+/* Sends a health check; the answer comes as a probe.  */
+typedef void (*runner_probed_t) (void *ctx, const server_probe_t *probe);
+void runner_probe (runner_t *runner, const char *path,
+                   runner_probed_t probed, void *ctx);
+
+typedef struct runner_state_t
+{
+  uint64_t started; /* runs that were sent to the server */
+  uint64_t ended;
+  uint64_t probes;
+  uint64_t faults[CAUSE_COUNT];
+  http_client_state_t connections;
+} runner_state_t;
+
+runner_state_t runner_state (const runner_t *runner);
+
+#endif
--- /dev/null
+++ b/src/edge/sidecar.c
@@ -0,0 +1,681 @@
+#include "edge/sidecar.h"
+
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "edge/backend_watch.h"
+#include "edge/entry_point.h"
+#include "edge/members.h"
+#include "edge/metrics.h"
+#include "edge/operator_feed.h"
+#include "edge/serve.h"
+#include "edge/store.h"
+
+enum
+{
+  TICK_US = 50 * US_PER_MS,
+  TICK_LEAST_US = 2 * US_PER_MS,
+  REPORT_LIST_MAX = 64, /* services and accounts in one report */
+  RATIO_LEAST_RUNS = 20, /* before calls are counted against runs */
+  /* A caller's machine misses two readiness checks, a second apart, before
+     it sends elsewhere.  */
+  READY_NOTICE_US = 2300 * US_PER_MS,
+  LAST_ANSWERS_US = 500 * US_PER_MS, /* kept back from the time to stop */
+  BODIES_SHARE = 4, /* of the memory, for bodies of callers: a quarter */
+  UNREAD_BYTES = 256 * 1024,
+  PIPELINED_MAX = 32,
+  BODY_TIMEOUT_US = 10 * US_PER_S /* between two pieces of a body */
+};
+
+typedef enum phase_t
+{
+  PHASE_RUNNING,
+  PHASE_NOTICE,  /* not ready any more, still serving */
+  PHASE_DRAINING /* each answer closes its connection */
+} phase_t;
+
+struct sidecar_t
+{
+  sidecar_settings_t settings;
+  char path[PATH_BYTES];
+  const dialect_t *dialect;
+  loop_t loop;
+  event_log_t log;
+  rng_t rng;
+  uint64_t incarnation;
+  fleet_t *fleet;
+  quota_t *quota;
+  runner_t *runner;
+  serve_t serve;
+  backend_watch_t *watch;
+  peer_set_t *peers;
+  entry_point_t *entry;
+  store_t *store;
+  operator_feed_t *operators;
+  members_t *members;
+  http_server_t *callers;
+  http_server_t *ready;
+  http_server_t *announce;
+  http_server_t *metrics;
+  ev_timer tick;
+  ev_timer report;
+  ev_signal term;
+  ev_signal interrupt;
+  ev_signal hup;
+  loop_task_t beliefs;
+  phase_t phase;
+  int64_t stop_us; /* when the stop began */
+  mesh_ratio ratios[REPORT_LIST_MAX];
+  mesh_demand demands[REPORT_LIST_MAX];
+  uint32_t demand_count;
+};
+
+/* --- what this sidecar tells the others -------------------------------- */
+
+static void
+own_server (sidecar_t *sidecar, fleet_server_t *server)
+{
+  const server_view_t *view = backend_watch_view (sidecar->watch);
+  *server = (fleet_server_t){
+    .vm = peer_set_vm (sidecar->peers),
+    .incarnation = sidecar->incarnation,
+    .service = sidecar->settings.service,
+    .zone = sidecar->settings.zone,
+    .server_id = view->id,
+    .slots = view->slots,
+    .accepting = sidecar->phase == PHASE_RUNNING
+                 && backend_watch_accepting (sidecar->watch),
+    .load = runner_load (sidecar->runner),
+  };
+}
+
+static void
+tell_beliefs (void *ctx)
+{
+  sidecar_t *sidecar = ctx;
+  fleet_server_t server;
+  own_server (sidecar, &server);
+  fleet_put (sidecar->fleet, &server, sidecar->loop.now_us);
+  peer_set_report (sidecar->peers);
+}
+
+static void
+beliefs_changed (void *ctx)
+{
+  sidecar_t *sidecar = ctx;
+  loop_defer (&sidecar->loop, &sidecar->beliefs);
+}
+
+typedef struct ratio_fill_t
+{
+  sidecar_t *sidecar;
+  uint64_t runs;
+  uint32_t count;
+} ratio_fill_t;
+
+static void
+add_ratio (void *ctx, const char *service, uint64_t count)
+{
+  ratio_fill_t *fill = ctx;
+  if (fill->count == REPORT_LIST_MAX)
+    return;
+  fill->sidecar->ratios[fill->count++] = (mesh_ratio){
+    (char *)service, (u_int)(count * 1000 / fill->runs)
+  };
+}
+
+static void
+add_demand (void *ctx, const char *account, double per_s)
+{
+  sidecar_t *sidecar = ctx;
+  if (sidecar->demand_count == REPORT_LIST_MAX)
+    return;
+  sidecar->demands[sidecar->demand_count++]
+      = (mesh_demand){ (char *)account, (u_int)(per_s * 100) };
+}
+
+static void
+make_report (void *ctx, mesh_report *report)
+{
+  sidecar_t *sidecar = ctx;
+  fleet_server_t server;
+  own_server (sidecar, &server);
+  ratio_fill_t fill
+      = { sidecar, runner_state (sidecar->runner).started, 0 };
+  if (fill.runs >= RATIO_LEAST_RUNS)
+    entry_each_callee (sidecar->entry, add_ratio, &fill);
+  *report = (mesh_report){
+    .incarnation = sidecar->incarnation,
+    .config_version = operator_feed_version (sidecar->operators),
+    .operator_offset = operator_feed_offset (sidecar->operators),
+    .service = (char *)server.service,
+    .zone = (char *)server.zone,
+    .server = (char *)server.server_id,
+    .accepting = server.accepting,
+    .leaving = sidecar->phase != PHASE_RUNNING,
+    .slots = server.slots,
+    .load = { server.load.running, server.load.queued, server.load.window,
+              server.load.pressure_permille },
+    .ratios = { fill.count, sidecar->ratios },
+    .demands = { sidecar->demand_count, sidecar->demands },
+  };
+}
+
+/* --- what the others tell ---------------------------------------------- */
+
+static void
+on_report (void *ctx, peer_t *peer, const mesh_report *report)
+{
+  sidecar_t *sidecar = ctx;
+  fleet_server_t server = {
+    .vm = peer_vm (peer),
+    .incarnation = report->incarnation,
+    .service = report->service,
+    .zone = report->zone,
+    .server_id = report->server,
+    .slots = report->slots,
+    .accepting = report->accepting != 0,
+    .load = { report->load.running, report->load.queued, report->load.window,
+              report->load.pressure_permille },
+  };
+  fleet_put (sidecar->fleet, &server, sidecar->loop.now_us);
+  for (u_int i = 0; i < report->ratios.ratios_len; i++)
+    fleet_put_ratio (sidecar->fleet, report->service,
+                     report->ratios.ratios_val[i].service, server.vm,
+                     report->ratios.ratios_val[i].permille / 1000.0);
+  for (u_int i = 0; i < report->demands.demands_len; i++)
+    quota_heard (sidecar->quota, server.vm,
+                 report->demands.demands_val[i].account,
+                 report->demands.demands_val[i].centi_per_s / 100.0);
+  if (report->config_version > operator_feed_version (sidecar->operators)
+      || report->operator_offset
+             > operator_feed_offset (sidecar->operators))
+    peer_want_document (peer);
+}
+
+static void
+on_down (void *ctx, peer_t *peer)
+{
+  sidecar_t *sidecar = ctx;
+  event_log (&sidecar->log, EVENT_LIFE, "peer-lost", "vm=%llx",
+             (unsigned long long)peer_vm (peer));
+  fleet_down (sidecar->fleet, peer_vm (peer), sidecar->loop.now_us);
+}
+
+static void
+on_call (void *ctx, peer_stream_t *stream, const forward_call_t *call)
+{
+  sidecar_t *sidecar = ctx;
+  serve_call (&sidecar->serve, stream, call);
+}
+
+static void
+on_cancel (void *ctx, peer_stream_t *stream, bool gone)
+{
+  (void)ctx;
+  serve_cancel (stream, gone);
+}
+
+static void
+on_credit (void *ctx, peer_stream_t *stream)
+{
+  (void)ctx;
+  serve_credit (stream);
+}
+
+static void
+on_want_document (void *ctx, peer_t *peer)
+{
+  sidecar_t *sidecar = ctx;
+  operator_state_t state = operator_feed_state (sidecar->operators);
+  mesh_document document = {
+    .config_version = state.version,
+    .operator_offset = state.offset,
+    .zones_out = { state.zone_count, (mesh_name *)state.zones_out },
+    .text = { (u_int)state.size, (char *)state.text },
+  };
+  peer_send_document (peer, &document);
+}
+
+static void
+on_document (void *ctx, peer_t *peer, const mesh_document *document)
+{
+  sidecar_t *sidecar = ctx;
+  (void)peer;
+  operator_state_t state = {
+    .version = document->config_version,
+    .offset = document->operator_offset,
+    .text = document->text.text_val,
+    .size = document->text.text_len,
+  };
+  for (u_int i = 0; i < document->zones_out.zones_out_len
+                    && state.zone_count < ZONES_OUT_MAX;
+       i++)
+    state.zones_out[state.zone_count++]
+        = document->zones_out.zones_out_val[i];
+  operator_feed_merge (sidecar->operators, &state);
+}
+
+/* --- the operators ----------------------------------------------------- */
+
+static http_limits_t
+caller_limits (const sidecar_t *sidecar, const policy_limits_t *limits)
+{
+  return (http_limits_t){
+    .header_bytes = limits->header_bytes,
+    .body_bytes = limits->body_bytes,
+    .header_timeout_us = limits->header_timeout_us,
+    .body_timeout_us = BODY_TIMEOUT_US,
+    .idle_timeout_us = limits->idle_timeout_us,
+    .pipelined = PIPELINED_MAX,
+    .bodies_bytes
+    = (uint64_t)sidecar->settings.memory_mb * 1024 * 1024 / BODIES_SHARE,
+    .unread_bytes = UNREAD_BYTES,
+  };
+}
+
+static const policy_limits_t first_limits = {
+  .header_bytes = 16 * 1024,
+  .body_bytes = 1024 * 1024,
+  .header_timeout_us = 3 * US_PER_S,
+  .idle_timeout_us = 15 * US_PER_S,
+};
+
+static void
+on_policy (void *ctx, const policy_t *policy)
+{
+  sidecar_t *sidecar = ctx;
+  http_limits_t limits = caller_limits (sidecar, &policy->limits);
+  entry_set_policy (sidecar->entry, policy);
+  http_server_set_limits (sidecar->callers, &limits);
+  for (size_t i = 0; i < policy->account_count; i++)
+    quota_set_limit (sidecar->quota, policy->accounts[i].name,
+                     policy->accounts[i].rate_per_s,
+                     policy->accounts[i].burst);
+  int service = policy_service (policy, sidecar->settings.service);
+  backend_watch_set_service (
+      sidecar->watch, service >= 0 ? &policy->services[service] : NULL);
+  beliefs_changed (sidecar);
+}
+
+static void
+on_zones (void *ctx)
+{
+  sidecar_t *sidecar = ctx;
+  backend_watch_set_zone_out (
+      sidecar->watch, operator_feed_zone_is_out (sidecar->operators,
+                                                 sidecar->settings.zone));
+}
+
+/* --- the fleet --------------------------------------------------------- */
+
+static void
+count_members (sidecar_t *sidecar)
+{
+  uint32_t count = members_count (sidecar->members);
+  quota_set_members (sidecar->quota, count);
+  entry_set_sidecars (sidecar->entry, count);
+}
+
+static void
+on_joined (void *ctx, vm_id_t vm)
+{
+  sidecar_t *sidecar = ctx;
+  peer_set_add (sidecar->peers, vm);
+  count_members (sidecar);
+}
+
+static void
+on_left (void *ctx, vm_id_t vm)
+{
+  sidecar_t *sidecar = ctx;
+  peer_set_remove (sidecar->peers, vm);
+  quota_forget (sidecar->quota, vm);
+  count_members (sidecar);
+}
+
+/* --- the backend server ------------------------------------------------ */
+
+static void
+on_server_lost (void *ctx, const char *server_id)
+{
+  sidecar_t *sidecar = ctx;
+  backend_watch_lost (sidecar->watch, server_id);
+}
+
+static void
+on_faulted (void *ctx, const char *attempt_id, const char *server_id,
+            cause_t cause)
+{
+  sidecar_t *sidecar = ctx;
+  event_log (&sidecar->log, EVENT_REQUEST, "run-failed",
+             "id=%s server=%s cause=%s", attempt_id, server_id,
+             cause_name (cause));
+}
+
+/* --- readiness and metrics --------------------------------------------- */
+
+static bool
+is_ready (const sidecar_t *sidecar)
+{
+  return sidecar->phase == PHASE_RUNNING
+         && operator_feed_policy (sidecar->operators) != NULL;
+}
+
+static void
+on_ready (void *ctx, http_exchange_t *http)
+{
+  sidecar_t *sidecar = ctx;
+  bool known = strcmp (bytes_data (&http->target),
+                       sidecar->dialect->ready_target)
+               == 0;
+  int status = !known ? 404 : is_ready (sidecar) ? 200 : 503;
+  http_respond (http, status, NULL, 0, NULL, 0);
+}
+
+static void
+on_metrics (void *ctx, http_exchange_t *http)
+{
+  sidecar_t *sidecar = ctx;
+  metrics_parts_t parts = {
+    .loop = &sidecar->loop,
+    .log = &sidecar->log,
+    .entry = entry_state (sidecar->entry),
+    .runner = runner_state (sidecar->runner),
+    .load = runner_load (sidecar->runner),
+    .peers = peer_set_state (sidecar->peers),
+    .store = store_state (sidecar->store),
+    .callers = http_server_state (sidecar->callers),
+    .config_version = operator_feed_version (sidecar->operators),
+  };
+  bytes_t text = { 0 };
+  static const char type[] = "Content-Type: text/plain\r\n";
+  metrics_write (&text, &parts);
+  http_respond (http, 200, type, sizeof type - 1, bytes_data (&text),
+                bytes_size (&text));
+  bytes_free (&text);
+}
+
+static void
+on_small_gone (void *ctx, http_exchange_t *http)
+{
+  (void)ctx;
+  (void)http;
+}
+
+/* --- time -------------------------------------------------------------- */
+
+static void
+next_phase (sidecar_t *sidecar)
+{
+  int64_t age_us = sidecar->loop.now_us - sidecar->stop_us;
+  int64_t most_us
+      = (int64_t)(sidecar->settings.stop_s * US_PER_S) - LAST_ANSWERS_US;
+  uint32_t open = entry_state (sidecar->entry).open
+                  + runner_open (sidecar->runner);
+  if (sidecar->phase == PHASE_NOTICE && age_us >= READY_NOTICE_US)
+    {
+      sidecar->phase = PHASE_DRAINING;
+      http_server_drain (sidecar->callers);
+    }
+  bool done = sidecar->phase == PHASE_DRAINING && open == 0
+              && http_server_state (sidecar->callers).connections == 0;
+  if (done || age_us >= most_us)
+    {
+      event_log (&sidecar->log, EVENT_LIFE, "stopped",
+                 "after-ms=%lld open=%u connections=%u",
+                 (long long)(age_us / US_PER_MS), open,
+                 http_server_state (sidecar->callers).connections);
+      ev_break (sidecar->loop.ev, EVBREAK_ALL);
+    }
+}
+
+static void
+on_tick (struct ev_loop *ev, ev_timer *timer, int events)
+{
+  sidecar_t *sidecar = timer->data;
+  (void)ev;
+  (void)events;
+  int64_t due_us = runner_tick (sidecar->runner) - sidecar->loop.now_us;
+  if (due_us < TICK_LEAST_US)
+    due_us = TICK_LEAST_US;
+  backend_watch_tick (sidecar->watch);
+  if (sidecar->phase != PHASE_RUNNING)
+    next_phase (sidecar);
+  loop_timer (&sidecar->loop, timer, due_us < TICK_US ? due_us : TICK_US);
+}
+
+static void
+on_report_due (struct ev_loop *ev, ev_timer *timer, int events)
+{
+  sidecar_t *sidecar = timer->data;
+  fleet_server_t server;
+  (void)ev;
+  (void)events;
+  own_server (sidecar, &server);
+  fleet_put (sidecar->fleet, &server, sidecar->loop.now_us);
+  sidecar->demand_count = 0;
+  quota_tell (sidecar->quota, sidecar->loop.now_us, add_demand, sidecar);
+  peer_set_tick (sidecar->peers);
+}
+
+static void
+on_stop (struct ev_loop *ev, ev_signal *signal, int events)
+{
+  sidecar_t *sidecar = signal->data;
+  (void)ev;
+  (void)events;
+  if (sidecar->phase != PHASE_RUNNING)
+    return;
+  sidecar->phase = PHASE_NOTICE;
+  sidecar->stop_us = sidecar->loop.now_us;
+  event_log (&sidecar->log, EVENT_LIFE, "stopping", "open=%u runs=%u",
+             entry_state (sidecar->entry).open,
+             runner_open (sidecar->runner));
+  members_leave (sidecar->members);
+  beliefs_changed (sidecar);
+}
+
+static void
+on_hup (struct ev_loop *ev, ev_signal *signal, int events)
+{
+  sidecar_t *sidecar = signal->data;
+  sidecar_settings_t settings;
+  error_info_t error = { .kind = ERROR_NONE };
+  (void)ev;
+  (void)events;
+  if (!sidecar_settings_load (sidecar->path, &settings, &error))
+    {
+      event_log (&sidecar->log, EVENT_LIFE, "settings-rejected",
+                 "at=\"%s\" error=\"%s\"", error.path, error.message);
+      return;
+    }
+  /* Addresses take effect at the next start.  */
+  sidecar->settings.stop_s = settings.stop_s;
+  sidecar->settings.memory_mb = settings.memory_mb;
+  event_log (&sidecar->log, EVENT_LIFE, "settings-reloaded",
+             "stop-s=%g memory-mb=%u", settings.stop_s, settings.memory_mb);
+}
+
+/* --- assembly ---------------------------------------------------------- */
+
+static const http_limits_t small_limits = {
+  .header_bytes = 8 * 1024,
+  .body_bytes = 64 * 1024,
+  .header_timeout_us = 3 * US_PER_S,
+  .body_timeout_us = 3 * US_PER_S,
+  .idle_timeout_us = 60 * US_PER_S,
+  .pipelined = 4,
+  .bodies_bytes = 1024 * 1024,
+  .unread_bytes = UNREAD_BYTES,
+};
+
+static bool
+open_listeners (sidecar_t *sidecar, error_info_t *error)
+{
+  loop_t *loop = &sidecar->loop;
+  const sidecar_settings_t *settings = &sidecar->settings;
+  http_limits_t limits = caller_limits (sidecar, &first_limits);
+  http_handler_t callers = entry_handler (sidecar->entry);
+  http_handler_t announce = backend_watch_handler (sidecar->watch);
+  http_handler_t ready = { on_ready, on_small_gone, NULL, sidecar };
+  http_handler_t metrics = { on_metrics, on_small_gone, NULL, sidecar };
+
+  sidecar->callers = http_server_new (loop, settings->callers, &limits,
+                                      &callers, error);
+  sidecar->announce = http_server_new (loop, settings->announce,
+                                       &small_limits, &announce, error);
+  sidecar->ready = http_server_new (loop, settings->ready, &small_limits,
+                                    &ready, error);
+  sidecar->metrics = http_server_new (loop, settings->metrics, &small_limits,
+                                      &metrics, error);
+  return sidecar->callers != NULL && sidecar->announce != NULL
+         && sidecar->ready != NULL && sidecar->metrics != NULL;
+}
+
+static void
+start_timer (sidecar_t *sidecar, ev_timer *timer,
+             void (*fired) (struct ev_loop *, ev_timer *, int),
+             int64_t after_us)
+{
+  ev_timer_init (timer, fired, 0, 0);
+  timer->data = sidecar;
+  loop_timer (&sidecar->loop, timer, after_us);
+}
+
+static void
+start_signal (sidecar_t *sidecar, ev_signal *watcher,
+              void (*fired) (struct ev_loop *, ev_signal *, int), int number)
+{
+  ev_signal_init (watcher, fired, number);
+  watcher->data = sidecar;
+  ev_signal_start (sidecar->loop.ev, watcher);
+}
+
+static bool
+open_parts (sidecar_t *sidecar, error_info_t *error)
+{
+  loop_t *loop = &sidecar->loop;
+  const dialect_t *dialect = sidecar->dialect;
+  const sidecar_settings_t *settings = &sidecar->settings;
+  runner_handler_t runner = { on_server_lost, on_faulted, sidecar };
+  peer_handler_t peers
+      = { make_report, on_report,        on_down,     on_call, on_cancel,
+          on_credit,   on_want_document, on_document, sidecar };
+  operator_handler_t operators = { on_policy, on_zones, sidecar };
+  members_handler_t members = { on_joined, on_left, sidecar };
+
+  sidecar->fleet = fleet_new (settings->zone, &sidecar->rng, loop->now_us);
+  sidecar->quota = quota_new ();
+  sidecar->runner = runner_new (loop, dialect, settings->backend,
+                                sidecar->incarnation, &runner);
+  sidecar->serve = (serve_t){ sidecar->runner, settings->service };
+  sidecar->watch
+      = backend_watch_new (loop, dialect, sidecar->runner, settings->service,
+                           &sidecar->log, beliefs_changed, sidecar);
+  sidecar->peers = peer_set_new (loop, settings->peer, &peers, error);
+  if (sidecar->peers == NULL)
+    return false;
+  entry_parts_t entry = {
+    .loop = loop,
+    .dialect = dialect,
+    .rng = &sidecar->rng,
+    .log = &sidecar->log,
+    .fleet = sidecar->fleet,
+    .quota = sidecar->quota,
+    .peers = sidecar->peers,
+    .runner = sidecar->runner,
+    .service = settings->service,
+    .server_ip = settings->backend.ip,
+    .retry_reserve = settings->retry_reserve,
+  };
+  sidecar->entry = entry_new (&entry);
+  sidecar->operators
+      = operator_feed_new (dialect, &sidecar->log, &operators);
+  sidecar->store = store_new (loop, dialect, settings->store, &sidecar->rng,
+                              &sidecar->log);
+  sidecar->members = members_new (
+      sidecar->store, dialect->member_topic, peer_set_vm (sidecar->peers),
+      sidecar->incarnation, settings->zone, &sidecar->log, &members);
+  return open_listeners (sidecar, error);
+}
+
+sidecar_t *
+sidecar_new (const sidecar_settings_t *settings, const char *path,
+             const dialect_t *dialect, const clock_source_t *clock,
+             error_info_t *error)
+{
+  sidecar_t *sidecar = calloc (1, sizeof *sidecar);
+  if (sidecar == NULL)
+    abort ();
+  sidecar->settings = *settings;
+  sidecar->dialect = dialect;
+  snprintf (sidecar->path, sizeof sidecar->path, "%s", path);
+  sidecar->incarnation = (uint64_t)clock_wall_ms (clock);
+  uint64_t seed;
+  randombytes_buf (&seed, sizeof seed);
+  sidecar->rng = rng_seeded (seed);
+  sidecar->beliefs = (loop_task_t){ .run = tell_beliefs, .ctx = sidecar };
+  if (!loop_open (&sidecar->loop, clock, error))
+    {
+      sidecar_free (sidecar);
+      return NULL;
+    }
+  event_log_open (&sidecar->log, &sidecar->loop, STDOUT_FILENO,
+                  settings->node);
+  if (!open_parts (sidecar, error))
+    {
+      sidecar_free (sidecar);
+      return NULL;
+    }
+  return sidecar;
+}
+
+void
+sidecar_run (sidecar_t *sidecar)
+{
+  store_handler_t operators
+      = { operator_feed_snapshot_begin, operator_feed_record,
+          operator_feed_snapshot_end, sidecar->operators };
+  event_log (&sidecar->log, EVENT_LIFE, "started",
+             "version=%s incarnation=%llu service=%s zone=%s",
+             REDWINGFORD_VERSION, (unsigned long long)sidecar->incarnation,
+             sidecar->settings.service, sidecar->settings.zone);
+  store_follow (sidecar->store, sidecar->dialect->operator_topic, &operators);
+  members_join (sidecar->members);
+  start_timer (sidecar, &sidecar->tick, on_tick, TICK_US);
+  start_timer (sidecar, &sidecar->report, on_report_due, PEER_REPORT_US);
+  start_signal (sidecar, &sidecar->term, on_stop, SIGTERM);
+  start_signal (sidecar, &sidecar->interrupt, on_stop, SIGINT);
+  start_signal (sidecar, &sidecar->hup, on_hup, SIGHUP);
+  ev_run (sidecar->loop.ev, 0);
+}
+
+void
+sidecar_free (sidecar_t *sidecar)
+{
+  if (sidecar == NULL)
+    return;
+  http_server_free (sidecar->callers);
+  http_server_free (sidecar->announce);
+  http_server_free (sidecar->ready);
+  http_server_free (sidecar->metrics);
+  members_free (sidecar->members);
+  store_free (sidecar->store);
+  operator_feed_free (sidecar->operators);
+  peer_set_free (sidecar->peers);
+  entry_free (sidecar->entry);
+  backend_watch_free (sidecar->watch);
+  runner_free (sidecar->runner);
+  quota_free (sidecar->quota);
+  fleet_free (sidecar->fleet);
+  event_log_close (&sidecar->log);
+  loop_close (&sidecar->loop);
+  if (sidecar->rng.ctx != NULL)
+    rng_seeded_free (&sidecar->rng);
+  free (sidecar);
+}
--- a/src/main.c
+++ b/src/main.c
@@ -15,6 +15,7 @@
 
 static const command_t commands[] = {
   { "daemon", cmd_daemon, "run beside a backend server" },
+  { "sidecar", cmd_sidecar, "run beside a backend server on the platform" },
   { "check", cmd_check, "check a settings file or a document" },
   { "status", cmd_status, "print what a daemon knows" },
   { "publish", cmd_publish, "publish a configuration document" },
--- /dev/null
+++ b/src/mesh/fleet.c
@@ -0,0 +1,330 @@
+#include "mesh/fleet.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "clock.h"
+
+enum
+{
+  ZONES_MAX = CHOOSE_ZONES_MAX,
+  CALLEES_MAX = 16,   /* services that one service calls */
+  DEPTH_MAX = 8,      /* of a tree of calls */
+  PRESSURE_FRESH_US = 2 * US_PER_S, /* older reports do not count */
+  PRESSURE_CACHE_US = 50 * US_PER_MS
+};
+
+static const double RATIO_LEAST = 0.02;      /* rarer calls do not count */
+static const double RATIO_WEIGHT = 1.0 / 16; /* of one report */
+
+typedef struct callee_t
+{
+  char service[NAME_BYTES];
+  double ratio;
+} callee_t;
+
+typedef struct service_t
+{
+  char name[NAME_BYTES];
+  choose_t *choose;
+  callee_t callees[CALLEES_MAX];
+  uint32_t callee_count;
+  double pressure; /* of the tree, cached */
+  int64_t pressure_us;
+} service_t;
+
+typedef struct member_t
+{
+  vm_id_t vm;
+  uint64_t incarnation;
+  char service[NAME_BYTES];
+  char server_id[SERVER_ID_BYTES];
+  uint32_t life; /* grows with each incarnation of the server */
+  uint32_t zone;
+  uint32_t slots;
+  bool accepting;
+  uint32_t pressure_permille;
+  int64_t told_us;
+} member_t;
+
+struct fleet_t
+{
+  const rng_t *rng;
+  char zones[ZONES_MAX][NAME_BYTES];
+  uint32_t zone_count;
+  service_t *services;
+  size_t service_count;
+  member_t *members;
+  size_t member_count;
+  int64_t started_us;
+};
+
+fleet_t *
+fleet_new (const char *zone, const rng_t *rng, int64_t now_us)
+{
+  fleet_t *fleet = calloc (1, sizeof *fleet);
+  if (fleet == NULL)
+    abort ();
+  fleet->rng = rng;
+  fleet->started_us = now_us;
+  snprintf (fleet->zones[0], NAME_BYTES, "%s", zone);
+  fleet->zone_count = 1;
+  return fleet;
+}
+
+void
+fleet_free (fleet_t *fleet)
+{
+  if (fleet == NULL)
+    return;
+  for (size_t i = 0; i < fleet->service_count; i++)
+    choose_free (fleet->services[i].choose);
+  free (fleet->services);
+  free (fleet->members);
+  free (fleet);
+}
+
+static uint32_t
+zone_number (fleet_t *fleet, const char *zone)
+{
+  for (uint32_t i = 0; i < fleet->zone_count; i++)
+    if (strcmp (fleet->zones[i], zone) == 0)
+      return i;
+  if (fleet->zone_count == ZONES_MAX)
+    return ZONES_MAX - 1;
+  snprintf (fleet->zones[fleet->zone_count], NAME_BYTES, "%s", zone);
+  return fleet->zone_count++;
+}
+
+static service_t *
+service_find (const fleet_t *fleet, const char *name)
+{
+  for (size_t i = 0; i < fleet->service_count; i++)
+    if (strcmp (fleet->services[i].name, name) == 0)
+      return &fleet->services[i];
+  return NULL;
+}
+
+static service_t *
+service_find_or_add (fleet_t *fleet, const char *name)
+{
+  service_t *service = service_find (fleet, name);
+  if (service != NULL)
+    return service;
+  fleet->services
+      = realloc (fleet->services,
+                 (fleet->service_count + 1) * sizeof *fleet->services);
+  if (fleet->services == NULL)
+    abort ();
+  service = &fleet->services[fleet->service_count++];
+  *service = (service_t){ .pressure_us = 0 };
+  snprintf (service->name, sizeof service->name, "%s", name);
+  /* Cold servers are held back by their own sidecars, at a known rate.  */
+  choose_options_t options = { .no_ramp = true };
+  service->choose = choose_new (&options, fleet->started_us);
+  return service;
+}
+
+static member_t *
+member_find (const fleet_t *fleet, vm_id_t vm)
+{
+  for (size_t i = 0; i < fleet->member_count; i++)
+    if (fleet->members[i].vm == vm)
+      return &fleet->members[i];
+  return NULL;
+}
+
+static member_t *
+member_find_or_add (fleet_t *fleet, vm_id_t vm)
+{
+  member_t *member = member_find (fleet, vm);
+  if (member != NULL)
+    return member;
+  fleet->members = realloc (fleet->members, (fleet->member_count + 1)
+                                                * sizeof *fleet->members);
+  if (fleet->members == NULL)
+    abort ();
+  member = &fleet->members[fleet->member_count++];
+  *member = (member_t){ .vm = vm };
+  return member;
+}
+
+static void
+tell_choose (fleet_t *fleet, const member_t *member, int64_t now_us)
+{
+  choose_server_t server = {
+    .vm = member->vm,
+    .zone = member->zone,
+    .slots = member->slots,
+    .out = !member->accepting,
+    .incarnation = member->life,
+  };
+  choose_set_server (service_find_or_add (fleet, member->service)->choose,
+                     &server, now_us);
+}
+
+void
+fleet_put (fleet_t *fleet, const fleet_server_t *server, int64_t now_us)
+{
+  member_t *member = member_find_or_add (fleet, server->vm);
+  uint32_t zone = zone_number (fleet, server->zone);
+  bool moved = strcmp (member->service, server->service) != 0;
+  bool anew = strcmp (member->server_id, server->server_id) != 0;
+  bool changed = moved || anew || zone != member->zone
+                 || server->slots != member->slots
+                 || server->accepting != member->accepting;
+
+  if (moved && member->service[0] != '\0')
+    choose_remove (service_find_or_add (fleet, member->service)->choose,
+                   member->vm);
+  if (anew)
+    member->life++;
+  member->incarnation = server->incarnation;
+  snprintf (member->service, sizeof member->service, "%s", server->service);
+  snprintf (member->server_id, sizeof member->server_id, "%s",
+            server->server_id);
+  member->zone = zone;
+  member->slots = server->slots;
+  member->accepting = server->accepting;
+  member->pressure_permille = server->load.pressure_permille;
+  member->told_us = now_us;
+  if (changed)
+    tell_choose (fleet, member, now_us);
+}
+
+void
+fleet_down (fleet_t *fleet, vm_id_t vm, int64_t now_us)
+{
+  member_t *member = member_find (fleet, vm);
+  if (member == NULL || !member->accepting)
+    return;
+  member->accepting = false;
+  tell_choose (fleet, member, now_us);
+}
+
+void
+fleet_remove (fleet_t *fleet, vm_id_t vm)
+{
+  member_t *member = member_find (fleet, vm);
+  if (member == NULL)
+    return;
+  service_t *service = service_find (fleet, member->service);
+  if (service != NULL)
+    choose_remove (service->choose, vm);
+  *member = fleet->members[--fleet->member_count];
+}
+
+bool
+fleet_pick (fleet_t *fleet, const char *name, const vm_id_t *exclude,
+            size_t count, int64_t now_us, vm_id_t *vm)
+{
+  service_t *service = service_find (fleet, name);
+  return service != NULL
+         && choose_pick (service->choose, 0, exclude, count, fleet->rng,
+                         now_us, vm);
+}
+
+void
+fleet_sent (fleet_t *fleet, const char *name, vm_id_t vm)
+{
+  service_t *service = service_find (fleet, name);
+  if (service != NULL)
+    choose_sent (service->choose, vm);
+}
+
+void
+fleet_done (fleet_t *fleet, const char *name, vm_id_t vm, run_result_t result,
+            int64_t run_us, const server_load_t *load, int64_t now_us)
+{
+  service_t *service = service_find (fleet, name);
+  if (service == NULL)
+    return;
+  choose_report_t report = { load->running + load->queued, load->window };
+  choose_done (service->choose, vm, result, run_us,
+               load->window > 0 ? &report : NULL, now_us);
+  member_t *member = member_find (fleet, vm);
+  if (member != NULL && load->window > 0)
+    {
+      member->pressure_permille = load->pressure_permille;
+      member->told_us = now_us;
+    }
+}
+
+uint32_t
+fleet_accepting (const fleet_t *fleet, const char *name)
+{
+  uint32_t count = 0;
+  for (size_t i = 0; i < fleet->member_count; i++)
+    count += fleet->members[i].accepting
+             && strcmp (fleet->members[i].service, name) == 0;
+  return count;
+}
+
+/* VM is one of several sidecars that see a part of CALLER's calls each.  */
+void
+fleet_put_ratio (fleet_t *fleet, const char *caller, const char *callee,
+                 vm_id_t vm, double ratio)
+{
+  service_t *service = service_find_or_add (fleet, caller);
+  (void)vm;
+  for (uint32_t i = 0; i < service->callee_count; i++)
+    if (strcmp (service->callees[i].service, callee) == 0)
+      {
+        double *known = &service->callees[i].ratio;
+        *known += (ratio - *known) * RATIO_WEIGHT;
+        return;
+      }
+  if (service->callee_count == CALLEES_MAX)
+    return;
+  callee_t *added = &service->callees[service->callee_count++];
+  snprintf (added->service, sizeof added->service, "%s", callee);
+  added->ratio = ratio;
+}
+
+/* Mean over the servers of one service, by their slots.  */
+static double
+own_pressure (const fleet_t *fleet, const char *name, int64_t now_us)
+{
+  double sum = 0;
+  double slots = 0;
+  for (size_t i = 0; i < fleet->member_count; i++)
+    {
+      const member_t *member = &fleet->members[i];
+      if (!member->accepting || strcmp (member->service, name) != 0
+          || now_us - member->told_us > PRESSURE_FRESH_US)
+        continue;
+      sum += member->slots * member->pressure_permille / 1000.0;
+      slots += member->slots;
+    }
+  return slots > 0 ? sum / slots : 0;
+}
+
+static double
+tree_pressure (const fleet_t *fleet, const char *name, int depth,
+               int64_t now_us)
+{
+  double most = own_pressure (fleet, name, now_us);
+  const service_t *service = service_find (fleet, name);
+  if (service == NULL || depth == DEPTH_MAX)
+    return most;
+  for (uint32_t i = 0; i < service->callee_count; i++)
+    if (service->callees[i].ratio > RATIO_LEAST)
+      most = fmax (most, tree_pressure (fleet, service->callees[i].service,
+                                        depth + 1, now_us));
+  return most;
+}
+
+double
+fleet_pressure (fleet_t *fleet, const char *name, int64_t now_us)
+{
+  service_t *service = service_find_or_add (fleet, name);
+  if (service->pressure_us == 0
+      || now_us - service->pressure_us > PRESSURE_CACHE_US)
+    {
+      service->pressure = tree_pressure (fleet, name, 0, now_us);
+      service->pressure_us = now_us;
+    }
+  return service->pressure;
+}
--- /dev/null
+++ b/src/mesh/intake.c
@@ -0,0 +1,356 @@
+#include "mesh/intake.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+#include "clock.h"
+#include "invariant.h"
+
+enum
+{
+  QUEUE_CAPACITY = 2048, /* entries; bounds memory, waits are bounded first */
+  PRESSURE_PERIOD_US = 100 * US_PER_MS, /* between two steps of pressure */
+  COLD_BURST = 4 /* requests at once after a quiet time on a cold server */
+};
+
+/* Servers slow down when nearly all slots are taken; health checks take one.
+ */
+static const double WINDOW_SHARE = 0.95;
+static const double RUN_WEIGHT = 1.0 / 32; /* of one run in the mean */
+/* Gain of the pressure's integral control, a second of excess load being
+   answered by about this share of refusals.  */
+static const double PRESSURE_GAIN = 0.10;
+static const double PRESSURE_LOAD = 0.97; /* load that is aimed at */
+static const double PRESSURE_MAX = 0.95;  /* some always pass, to sense */
+static const double COLD_RATE_SHARE = 1.1; /* of the rate that is borne */
+
+struct intake_t
+{
+  intake_actions_t actions;
+  intake_server_t server;
+  queue_t *queue;
+  uint32_t running;
+  uint32_t queued_calls; /* of the queue, from backend servers */
+  double run_us;
+  double cold_tokens;
+  int64_t cold_us; /* when cold_tokens were last counted */
+  double pressure;
+  int64_t pressure_us;
+  uint32_t calls_refused; /* since the last step of pressure */
+};
+
+intake_t *
+intake_new (const intake_actions_t *actions, int64_t now_us)
+{
+  queue_options_t options = { .capacity = QUEUE_CAPACITY };
+  intake_t *intake = calloc (1, sizeof *intake);
+  if (intake == NULL)
+    abort ();
+  intake->actions = *actions;
+  intake->queue = queue_new (&options);
+  intake->pressure_us = now_us;
+  intake->cold_us = now_us;
+  return intake;
+}
+
+void
+intake_free (intake_t *intake)
+{
+  if (intake == NULL)
+    return;
+  queue_free (intake->queue);
+  free (intake);
+}
+
+static uint32_t
+window (const intake_t *intake)
+{
+  uint32_t most = (uint32_t)(intake->server.slots * WINDOW_SHARE);
+  return most > 0 ? most : 1;
+}
+
+bool
+intake_is_cold (const intake_t *intake, int64_t now_us)
+{
+  return intake->server.cold_until_us > now_us
+         && intake->server.cold_per_s > 0;
+}
+
+static void
+cold_refill (intake_t *intake, int64_t now_us)
+{
+  double rate = intake->server.cold_per_s * COLD_RATE_SHARE;
+  intake->cold_tokens
+      += rate * (double)(now_us - intake->cold_us) / US_PER_S;
+  intake->cold_tokens = fmin (intake->cold_tokens, COLD_BURST);
+  intake->cold_us = now_us;
+}
+
+/* Whether the server can take one more now.  */
+static bool
+has_room (intake_t *intake, int64_t now_us)
+{
+  if (!intake->server.known || intake->running >= window (intake))
+    return false;
+  cold_refill (intake, now_us);
+  return !intake_is_cold (intake, now_us) || intake->cold_tokens >= 1;
+}
+
+static void
+start (intake_t *intake, intake_entry_t *entry, int64_t now_us)
+{
+  if (intake_is_cold (intake, now_us))
+    intake->cold_tokens -= 1;
+  entry->running = true;
+  entry->started_us = now_us;
+  intake->running++;
+  INVARIANT (intake->running <= intake->server.slots,
+             "%u run on %u slots", intake->running, intake->server.slots);
+}
+
+static intake_entry_t *
+from_queue (queue_entry_t *entry)
+{
+  return (intake_entry_t *)((char *)entry - offsetof (intake_entry_t, entry));
+}
+
+static intake_entry_t *
+dequeued (intake_t *intake, queue_entry_t *entry)
+{
+  if (entry == NULL)
+    return NULL;
+  intake_entry_t *found = from_queue (entry);
+  if (found->from_backend)
+    intake->queued_calls--;
+  return found;
+}
+
+static void
+refuse (intake_t *intake, intake_entry_t *entry, cause_t cause)
+{
+  if (entry->from_backend)
+    intake->calls_refused++;
+  intake->actions.refuse (intake->actions.ctx, entry, cause);
+}
+
+/* Requests that the server ends in a second.  */
+static double
+throughput_per_s (const intake_t *intake, int64_t now_us)
+{
+  double run_us = intake->run_us > 0 ? intake->run_us : US_PER_MS;
+  double rate = window (intake) * US_PER_S / run_us;
+  if (intake_is_cold (intake, now_us))
+    rate = fmin (rate, intake->server.cold_per_s);
+  return rate;
+}
+
+static int64_t
+wait_us (const intake_t *intake, bool from_backend, int64_t now_us)
+{
+  uint32_t ahead = from_backend ? intake->queued_calls
+                                : queue_count (intake->queue);
+  if (ahead == 0 && intake->running < window (intake)
+      && !intake_is_cold (intake, now_us))
+    return 0;
+  return (int64_t)((ahead + 1) * US_PER_S
+                   / throughput_per_s (intake, now_us));
+}
+
+int64_t
+intake_wait_us (const intake_t *intake, bool from_backend)
+{
+  return wait_us (intake, from_backend, intake->pressure_us);
+}
+
+/* Why the server takes nothing at all.  */
+static bool
+is_shut (const intake_t *intake, cause_t *cause)
+{
+  if (intake->server.leaving)
+    *cause = CAUSE_LEAVING;
+  else if (intake->server.zone_out)
+    *cause = CAUSE_ZONE_OUT;
+  else if (!intake->server.known)
+    *cause = CAUSE_NO_SERVER;
+  else
+    return false;
+  return true;
+}
+
+static void
+refuse_all (intake_t *intake, cause_t cause)
+{
+  for (;;)
+    {
+      queue_entry_t *next = queue_pop (intake->queue, 0);
+      if (next == NULL)
+        return;
+      refuse (intake, dequeued (intake, next), cause);
+    }
+}
+
+void
+intake_set_server (intake_t *intake, const intake_server_t *server,
+                   int64_t now_us)
+{
+  cause_t cause;
+  bool was_cold = intake_is_cold (intake, now_us);
+  intake->server = *server;
+  if (intake->server.slots < intake->running)
+    intake->server.slots = intake->running;
+  if (!was_cold && intake_is_cold (intake, now_us))
+    {
+      intake->cold_tokens = 0;
+      intake->cold_us = now_us;
+    }
+  if (is_shut (intake, &cause))
+    refuse_all (intake, cause);
+}
+
+/* Longest useful wait: the run itself must still fit.  */
+static int64_t
+wait_bound_us (const intake_t *intake, const intake_entry_t *entry,
+               int64_t now_us)
+{
+  int64_t left_us = entry->deadline_us - now_us - (int64_t)intake->run_us;
+  return left_us < entry->wait_us ? left_us : entry->wait_us;
+}
+
+intake_verdict_t
+intake_offer (intake_t *intake, intake_entry_t *entry, int64_t now_us,
+              cause_t *cause)
+{
+  if (is_shut (intake, cause))
+    return INTAKE_REFUSED;
+  if (entry->deadline_us <= now_us)
+    {
+      *cause = CAUSE_DEADLINE;
+      return INTAKE_REFUSED;
+    }
+  uint32_t ahead = entry->from_backend ? intake->queued_calls
+                                       : queue_count (intake->queue);
+  if (ahead == 0 && has_room (intake, now_us))
+    {
+      start (intake, entry, now_us);
+      return INTAKE_START;
+    }
+  int64_t bound_us = wait_bound_us (intake, entry, now_us);
+  if (wait_us (intake, entry->from_backend, now_us) > bound_us)
+    {
+      *cause = intake_is_cold (intake, now_us) ? CAUSE_COLD
+                                               : CAUSE_WAIT_TOO_LONG;
+      if (entry->from_backend)
+        intake->calls_refused++;
+      return INTAKE_REFUSED;
+    }
+  entry->entry = (queue_entry_t){
+    .account = entry->from_backend ? 0 : entry->account,
+    .weight = 1,
+    .priority = entry->from_backend ? 0 : entry->priority,
+    .work_sunk = entry->from_backend,
+    .expire_us = now_us + bound_us,
+  };
+  if (entry->from_backend)
+    intake->queued_calls++;
+  queue_entry_t *evicted
+      = queue_push (intake->queue, &entry->entry, bound_us, now_us);
+  if (evicted == &entry->entry)
+    {
+      dequeued (intake, evicted);
+      *cause = CAUSE_QUEUE_FULL;
+      return INTAKE_REFUSED;
+    }
+  if (evicted != NULL)
+    refuse (intake, dequeued (intake, evicted), CAUSE_QUEUE_FULL);
+  return INTAKE_QUEUED;
+}
+
+static void
+start_waiting (intake_t *intake, int64_t now_us)
+{
+  while (queue_count (intake->queue) > 0 && has_room (intake, now_us))
+    {
+      intake_entry_t *entry
+          = dequeued (intake, queue_pop (intake->queue, now_us));
+      start (intake, entry, now_us);
+      intake->actions.start (intake->actions.ctx, entry);
+    }
+}
+
+void
+intake_finished (intake_t *intake, intake_entry_t *entry, bool ran,
+                 int64_t now_us)
+{
+  INVARIANT (entry->running, "an entry that does not run has finished");
+  entry->running = false;
+  intake->running--;
+  double run_us = (double)(now_us - entry->started_us);
+  if (ran && intake->run_us <= 0)
+    intake->run_us = run_us;
+  else if (ran)
+    intake->run_us += (run_us - intake->run_us) * RUN_WEIGHT;
+  start_waiting (intake, now_us);
+}
+
+void
+intake_withdraw (intake_t *intake, intake_entry_t *entry)
+{
+  queue_remove (intake->queue, &entry->entry);
+  dequeued (intake, &entry->entry);
+}
+
+/* Integral control: load above the aim raises the share that callers' entry
+   points refuse, load below lowers it.  */
+static void
+step_pressure (intake_t *intake)
+{
+  double load = (double)(intake->running + queue_count (intake->queue))
+                / window (intake);
+  double excess = fmin (1, load - PRESSURE_LOAD);
+  if (intake->calls_refused > 0)
+    excess = fmax (excess, 0.5);
+  intake->calls_refused = 0;
+  if (!intake->server.known)
+    excess = -1;
+  intake->pressure += PRESSURE_GAIN * excess;
+  intake->pressure = fmin (PRESSURE_MAX, fmax (0, intake->pressure));
+}
+
+int64_t
+intake_tick (intake_t *intake, int64_t now_us)
+{
+  queue_entry_t *expired;
+  start_waiting (intake, now_us);
+  while ((expired = queue_expired (intake->queue, now_us)) != NULL)
+    refuse (intake, dequeued (intake, expired), CAUSE_WAIT_TOO_LONG);
+  for (; now_us - intake->pressure_us >= PRESSURE_PERIOD_US;
+       intake->pressure_us += PRESSURE_PERIOD_US)
+    step_pressure (intake);
+  int64_t next_us = queue_next_expiry_us (intake->queue);
+  if (queue_count (intake->queue) > 0 && intake_is_cold (intake, now_us)
+      && intake->running < window (intake))
+    {
+      double rate = intake->server.cold_per_s * COLD_RATE_SHARE;
+      double missing = fmax (0, 1 - intake->cold_tokens);
+      int64_t token_us = now_us + (int64_t)(missing * US_PER_S / rate) + 1;
+      next_us = token_us < next_us ? token_us : next_us;
+    }
+  return next_us;
+}
+
+server_load_t
+intake_load (const intake_t *intake)
+{
+  return (server_load_t){
+    .running = intake->running,
+    .queued = queue_count (intake->queue),
+    .window = window (intake),
+    .pressure_permille = (uint32_t)(intake->pressure * 1000),
+  };
+}
+
+int64_t
+intake_run_us (const intake_t *intake)
+{
+  return (int64_t)intake->run_us;
+}
--- /dev/null
+++ b/src/mesh/mesh_proto.x
@@ -0,0 +1,120 @@
+const MESH_NAME_MAX = 63;
+const MESH_TARGET_MAX = 65536;
+const MESH_FIELDS_MAX = 131072;
+const MESH_PART_MAX = 32768;
+const MESH_LIST_MAX = 1024;
+const MESH_DOCUMENT_MAX = 4194304;
+
+enum mesh_kind
+{
+  MESH_REPORT = 1,
+  MESH_CALL = 2,
+  MESH_CALL_BODY = 3,
+  MESH_CANCEL = 4,
+  MESH_REPLY = 5,
+  MESH_REPLY_BODY = 6,
+  MESH_FAILED = 7,
+  MESH_CREDIT = 8,
+  MESH_WANT_DOCUMENT = 9,
+  MESH_DOCUMENT = 10
+};
+
+typedef string mesh_name<MESH_NAME_MAX>;
+
+struct mesh_load
+{
+  unsigned int running;
+  unsigned int queued;
+  unsigned int window;
+  unsigned int pressure_permille;
+};
+
+struct mesh_ratio
+{
+  mesh_name service;
+  unsigned int permille;
+};
+
+struct mesh_demand
+{
+  mesh_name account;
+  unsigned int centi_per_s;
+};
+
+struct mesh_report
+{
+  unsigned hyper vm;
+  unsigned hyper incarnation;
+  unsigned hyper config_version;
+  hyper operator_offset;
+  mesh_name service;
+  mesh_name zone;
+  mesh_name server;
+  unsigned int accepting;
+  unsigned int leaving;
+  unsigned int slots;
+  mesh_load load;
+  mesh_ratio ratios<MESH_LIST_MAX>;
+  mesh_demand demands<MESH_LIST_MAX>;
+};
+
+struct mesh_call
+{
+  unsigned hyper stream;
+  mesh_name attempt_id;
+  mesh_name method;
+  string target<MESH_TARGET_MAX>;
+  opaque fields<MESH_FIELDS_MAX>;
+  mesh_name account;
+  mesh_name caller;
+  mesh_name service;
+  unsigned hyper incarnation;
+  unsigned int timeout_ms;
+  unsigned int wait_ms;
+  unsigned int priority;
+  unsigned int flags;
+  unsigned int body_size;
+  opaque body<MESH_PART_MAX>;
+};
+
+struct mesh_part
+{
+  unsigned hyper stream;
+  unsigned int last;
+  opaque data<MESH_PART_MAX>;
+};
+
+struct mesh_stream
+{
+  unsigned hyper stream;
+  unsigned int value;
+};
+
+struct mesh_reply
+{
+  unsigned hyper stream;
+  unsigned int status;
+  unsigned int last;
+  hyper length;
+  unsigned int run_us;
+  mesh_load load;
+  opaque fields<MESH_FIELDS_MAX>;
+  opaque body<MESH_PART_MAX>;
+};
+
+struct mesh_failed
+{
+  unsigned hyper stream;
+  unsigned int failure;
+  unsigned int cause;
+  unsigned int retry_ms;
+  mesh_load load;
+};
+
+struct mesh_document
+{
+  unsigned hyper config_version;
+  hyper operator_offset;
+  mesh_name zones_out<MESH_LIST_MAX>;
+  opaque text<MESH_DOCUMENT_MAX>;
+};
--- /dev/null
+++ b/src/mesh/policy.h
@@ -0,0 +1,100 @@
+#ifndef REDWINGFORD_POLICY_H
+#define REDWINGFORD_POLICY_H
+
+/* The configuration in force on a sidecar: routes, services, client accounts
+   and their keys.  Built once, then only read.  */
+
+#include "errinfo.h"
+#include "types.h"
+
+enum
+{
+  POLICY_SPLIT_MAX = 16,
+  POLICY_KEY_BYTES = 128
+};
+
+typedef struct policy_service_t
+{
+  char name[NAME_BYTES];
+  char health_path[PATH_BYTES];
+  uint32_t connections_max;
+  int64_t cold_us;   /* of a cold start; 0 is none */
+  double cold_per_s; /* requests a second borne while cold; 0 is any */
+} policy_service_t;
+
+typedef struct policy_part_t
+{
+  uint32_t service; /* index */
+  uint32_t weight;
+} policy_part_t;
+
+typedef struct policy_route_t
+{
+  char name[NAME_BYTES];
+  char host[PATH_BYTES]; /* in lower case */
+  char prefix[PATH_BYTES];
+  bool idempotent;
+  bool open; /* runs without a key */
+  uint8_t priority;
+  uint32_t attempts; /* backend servers that one request may be sent to */
+  int64_t timeout_us;
+  int64_t target_us; /* latency objective */
+  policy_part_t parts[POLICY_SPLIT_MAX];
+  uint32_t part_count;
+} policy_route_t;
+
+typedef struct policy_account_t
+{
+  char name[NAME_BYTES];
+  int priority;      /* -1: the route's */
+  double rate_per_s; /* 0 is no limit */
+  double burst;
+} policy_account_t;
+
+typedef struct policy_key_t
+{
+  char text[POLICY_KEY_BYTES];
+  uint32_t account; /* index */
+} policy_key_t;
+
+typedef struct policy_limits_t
+{
+  uint32_t header_bytes;
+  uint64_t body_bytes;
+  int64_t header_timeout_us;
+  int64_t idle_timeout_us;
+} policy_limits_t;
+
+typedef struct policy_t
+{
+  uint64_t version;
+  policy_limits_t limits;
+  policy_service_t *services;
+  size_t service_count;
+  policy_route_t *routes;
+  size_t route_count;
+  policy_account_t *accounts;
+  size_t account_count;
+  policy_key_t *keys;
+  size_t key_count;
+  bool has_accounts; /* requests need keys at all */
+  void *index;       /* private to policy.c */
+} policy_t;
+
+/* Sorts the routes and builds the index.  False with *error set when a name
+   stands twice or a route leads nowhere.  */
+bool policy_seal (policy_t *policy, error_info_t *error);
+void policy_free (policy_t *policy);
+
+/* The route of HOST with the longest prefix that begins PATH, or -1.  A port
+   behind the host is passed over.  */
+int policy_route (const policy_t *policy, const char *host, size_t host_size,
+                  const char *path);
+
+/* Index of the key's client account, or -1.  */
+int policy_account (const policy_t *policy, const char *key, size_t size);
+
+/* Index of a service, or -1.  */
+int policy_service (const policy_t *policy, const char *name);
+
+#endif
