--- a/src/mesh/call.h
+++ b/src/mesh/call.h
@@ -8,7 +8,7 @@
 
 enum
 {
-  ATTEMPT_ID_BYTES = 64,
+  ATTEMPT_ID_BYTES = 256,
   SERVER_ID_BYTES = 64
 };
 
--- a/src/mesh/mesh_proto.h
+++ b/src/mesh/mesh_proto.h
@@ -14,6 +14,7 @@
 #endif
 
 #define MESH_NAME_MAX 63
+#define MESH_ID_MAX 255
 #define MESH_TARGET_MAX 65536
 #define MESH_FIELDS_MAX 131072
 #define MESH_PART_MAX 32768
@@ -81,7 +82,7 @@
 
 struct mesh_call {
 	u_quad_t stream;
-	mesh_name attempt_id;
+	char *attempt_id;
 	mesh_name method;
 	char *target;
 	struct {
--- a/src/mesh/mesh_proto.x
+++ b/src/mesh/mesh_proto.x
@@ -1,4 +1,5 @@
 const MESH_NAME_MAX = 63;
+const MESH_ID_MAX = 255;
 const MESH_TARGET_MAX = 65536;
 const MESH_FIELDS_MAX = 131072;
 const MESH_PART_MAX = 32768;
@@ -61,7 +62,7 @@
 struct mesh_call
 {
   unsigned hyper stream;
-  mesh_name attempt_id;
+  string attempt_id<MESH_ID_MAX>;
   mesh_name method;
   string target<MESH_TARGET_MAX>;
   opaque fields<MESH_FIELDS_MAX>;
--- a/src/mesh/mesh_proto_xdr.c
+++ b/src/mesh/mesh_proto_xdr.c
@@ -228,7 +228,7 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->stream))
 			 return FALSE;
-		 if (!xdr_mesh_name (xdrs, &objp->attempt_id))
+		 if (!xdr_string (xdrs, &objp->attempt_id, MESH_ID_MAX))
 			 return FALSE;
 		 if (!xdr_mesh_name (xdrs, &objp->method))
 			 return FALSE;
@@ -270,7 +270,7 @@
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->stream))
 			 return FALSE;
-		 if (!xdr_mesh_name (xdrs, &objp->attempt_id))
+		 if (!xdr_string (xdrs, &objp->attempt_id, MESH_ID_MAX))
 			 return FALSE;
 		 if (!xdr_mesh_name (xdrs, &objp->method))
 			 return FALSE;
@@ -313,7 +313,7 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->stream))
 		 return FALSE;
-	 if (!xdr_mesh_name (xdrs, &objp->attempt_id))
+	 if (!xdr_string (xdrs, &objp->attempt_id, MESH_ID_MAX))
 		 return FALSE;
 	 if (!xdr_mesh_name (xdrs, &objp->method))
 		 return FALSE;
