Tell calls of backend servers from callers by their key

Cause: callers and the backend server beside a sidecar share one address, so every request counted as a call: no quota was taken, no pressure answered. Change: a request without a key on a route that needs none is a call.

--- a/src/edge/entry_point.c
+++ b/src/edge/entry_point.c
@@ -643,6 +643,11 @@
 {
   const policy_t *policy = exchange->entry->policy;
   const fields_t *fields = &exchange->http->fields;
+  /* A backend server that calls on has no key, and callers share its address:
+     a request without a key, on a route that needs none, counts as its call.
+   */
+  exchange->from_backend
+      = policy->has_accounts && route->open && look->key == NULL;
   if (!policy->has_accounts || route->open)
     return true;
   int number = look->key == NULL
@@ -709,10 +714,6 @@
                                     route->part_count);
   snprintf (exchange->service, sizeof exchange->service, "%s",
             entry->policy->services[route->parts[part].service].name);
-  exchange->patience_us
-      = entry->parts.loop->now_us
-        + admission_patience_us (exchange->from_backend, exchange->target_us,
-                                 left_us);
 }
 
 static void
@@ -740,7 +741,6 @@
   exchange->cause = CAUSE_COUNT;
   exchange->target_us = US_PER_S;
   exchange->deadline_us = entry->parts.loop->now_us + US_PER_S;
-  exchange->from_backend = http->peer_ip == entry->parts.server_ip;
   http->user = exchange;
   entry->state.open++;
   ev_timer_init (&exchange->timer, on_timer, 0, 0);
@@ -772,6 +772,11 @@
   set_route (exchange, route, number, look.timeout_us);
   if (!identify (exchange, route, &look) || !admit (exchange))
     return;
+  int64_t now_us = entry->parts.loop->now_us;
+  exchange->patience_us
+      = now_us
+        + admission_patience_us (exchange->from_backend, exchange->target_us,
+                                 exchange->deadline_us - now_us);
   count_first (exchange);
   place (exchange);
 }
--- a/src/edge/entry_point.h
+++ b/src/edge/entry_point.h
@@ -53,7 +53,6 @@
   peer_set_t *peers;
   runner_t *runner;
   const char *service; /* of the backend server beside this sidecar */
-  uint32_t server_ip;  /* requests from there are calls of that server */
   double retry_reserve; /* second sendings in a window without first ones */
 } entry_parts_t;
 
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -590,7 +590,6 @@
     .peers = sidecar->peers,
     .runner = sidecar->runner,
     .service = settings->service,
-    .server_ip = settings->backend.ip,
     .retry_reserve = settings->retry_reserve,
   };
   sidecar->entry = entry_new (&entry);
