Keep one bucket of an account's tokens for the whole fleet

Change: each sidecar tells what it admitted and keeps the fleet's bucket; leaves earn 0.08 repeats, other services 0.03; a caller that comes back as told is refused only when bookings are. A fresh process starts with an empty bucket from now on: half a burst came back with every restart of the whole fleet.

--- a/src/edge/entry_point.c
+++ b/src/edge/entry_point.c
@@ -31,7 +31,8 @@
 {
   entry_parts_t parts;
   const policy_t *policy;
-  split_t *splits; /* one a route of the policy */
+  split_t *splits;      /* one a route of the policy */
+  int64_t *timeouts_us; /* the longest that callers of each route wait */
   callee_count_t services[SERVICES_MAX];
   uint32_t service_count;
   uint32_t sidecars;
@@ -58,6 +59,7 @@
   char account[NAME_BYTES];
   bool idempotent;
   bool from_backend;
+  bool returned; /* its caller was refused before and came back as told */
   bool charged; /* a token of the account's rate was taken */
   uint8_t priority;
   uint32_t attempts_left; /* servers that it may still reach */
@@ -676,7 +678,7 @@
     return true;
   if (exchange->account[0] != '\0')
     {
-      if (!quota_take (entry->parts.quota, exchange->account, now_us))
+      if (!quota_take (entry->parts.quota, exchange->account))
         {
           finish (exchange, ENTRY_RATE, 429);
           return false;
@@ -686,7 +688,8 @@
   double pressure
       = fleet_pressure (entry->parts.fleet, exchange->service, now_us);
   if (pressure > 0
-      && admission_refuses (pressure, exchange->priority, draw (entry)))
+      && admission_refuses (pressure, exchange->priority, exchange->returned,
+                            draw (entry)))
     {
       finish (exchange, ENTRY_PRESSURE, 503);
       return false;
@@ -694,6 +697,22 @@
   return true;
 }
 
+/* A caller that comes back has less time left than callers of its route have
+   at first, by at least the shortest pause that it is told.  */
+static bool
+has_returned (exchange_t *exchange, int number, int64_t timeout_us)
+{
+  entry_point_t *entry = exchange->entry;
+  int64_t *longest_us = &entry->timeouts_us[number];
+  if (timeout_us > *longest_us)
+    *longest_us = timeout_us;
+  return timeout_us > 0
+         && *longest_us - timeout_us
+                >= (int64_t)admission_retry_ms (timeout_us,
+                                                exchange->target_us, 0)
+                       * US_PER_MS;
+}
+
 static void
 set_route (exchange_t *exchange, const policy_route_t *route, int number,
            int64_t timeout_us)
@@ -708,6 +727,7 @@
   exchange->idempotent = route->idempotent;
   exchange->priority = route->priority;
   exchange->attempts_left = route->attempts - 1;
+  exchange->returned = has_returned (exchange, number, timeout_us);
   uint32_t part = route->part_count == 1
                       ? 0
                       : split_next (&entry->splits[number], route->parts,
@@ -721,8 +741,9 @@
 {
   entry_point_t *entry = exchange->entry;
   callee_count_t *counts = service_counts (entry, exchange->service);
-  retry_pool_earn (&counts->pool, entry->parts.retry_reserve,
-                   entry->sidecars);
+  retry_pool_earn (&counts->pool,
+                   fleet_is_leaf (entry->parts.fleet, exchange->service),
+                   entry->parts.retry_reserve, entry->sidecars);
   if (!exchange->from_backend)
     return;
   counts->count++;
@@ -829,18 +850,20 @@
   if (entry == NULL)
     return;
   free (entry->splits);
+  free (entry->timeouts_us);
   free (entry);
 }
 
 void
 entry_set_policy (entry_point_t *entry, const policy_t *policy)
 {
+  size_t count = policy != NULL ? policy->route_count + 1 : 1;
   free (entry->splits);
+  free (entry->timeouts_us);
   entry->policy = policy;
-  entry->splits
-      = calloc (policy != NULL ? policy->route_count + 1 : 1,
-                sizeof *entry->splits);
-  if (entry->splits == NULL)
+  entry->splits = calloc (count, sizeof *entry->splits);
+  entry->timeouts_us = calloc (count, sizeof *entry->timeouts_us);
+  if (entry->splits == NULL || entry->timeouts_us == NULL)
     abort ();
 }
 
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -19,12 +19,14 @@
 {
   TICK_US = 50 * US_PER_MS,
   TICK_LEAST_US = 2 * US_PER_MS,
-  REPORT_LIST_MAX = 64, /* services and accounts in one report */
+  REPORT_LIST_MAX = 128, /* services and accounts in one report */
+  CENTI = 100,
   RATIO_LEAST_RUNS = 20, /* before calls are counted against runs */
   /* A caller's machine misses two readiness checks, a second apart, before
      it sends elsewhere.  */
   READY_NOTICE_US = 2300 * US_PER_MS,
-  LAST_ANSWERS_US = 500 * US_PER_MS, /* kept back from the time to stop */
+  CLOSING_US = 300 * US_PER_MS,       /* for callers to see the closes */
+  LAST_ANSWERS_US = 1000 * US_PER_MS, /* kept back from the time to stop */
   BODIES_SHARE = 4, /* of the memory, for bodies of callers: a quarter */
   UNREAD_BYTES = 256 * 1024,
   PIPELINED_MAX = 32,
@@ -129,13 +131,14 @@
 }
 
 static void
-add_demand (void *ctx, const char *account, double per_s)
+add_demand (void *ctx, const quota_news_t *news)
 {
   sidecar_t *sidecar = ctx;
   if (sidecar->demand_count == REPORT_LIST_MAX)
     return;
   sidecar->demands[sidecar->demand_count++]
-      = (mesh_demand){ (char *)account, (u_int)(per_s * 100) };
+      = (mesh_demand){ (char *)news->account,
+                       (u_int)(news->demand_per_s * CENTI), news->admitted };
 }
 
 static void
@@ -188,9 +191,14 @@
                      report->ratios.ratios_val[i].service, server.vm,
                      report->ratios.ratios_val[i].permille / 1000.0);
   for (u_int i = 0; i < report->demands.demands_len; i++)
-    quota_heard (sidecar->quota, server.vm,
-                 report->demands.demands_val[i].account,
-                 report->demands.demands_val[i].centi_per_s / 100.0);
+    {
+      const mesh_demand *demand = &report->demands.demands_val[i];
+      quota_news_t news = { demand->account,
+                            (double)demand->centi_per_s / CENTI,
+                            demand->admitted };
+      quota_heard (sidecar->quota, server.vm, report->incarnation, &news);
+    }
+  quota_silent (sidecar->quota, server.vm, false);
   if (report->config_version > operator_feed_version (sidecar->operators)
       || report->operator_offset
              > operator_feed_offset (sidecar->operators))
@@ -204,6 +212,7 @@
   event_log (&sidecar->log, EVENT_LIFE, "peer-lost", "vm=%llx",
              (unsigned long long)peer_vm (peer));
   fleet_down (sidecar->fleet, peer_vm (peer), sidecar->loop.now_us);
+  quota_silent (sidecar->quota, peer_vm (peer), true);
 }
 
 static void
@@ -423,7 +432,7 @@
       http_server_drain (sidecar->callers);
     }
   bool done = sidecar->phase == PHASE_DRAINING && open == 0
-              && http_server_state (sidecar->callers).connections == 0;
+              && age_us >= READY_NOTICE_US + CLOSING_US;
   if (done || age_us >= most_us)
     {
       event_log (&sidecar->log, EVENT_LIFE, "stopped",
@@ -459,7 +468,8 @@
   own_server (sidecar, &server);
   fleet_put (sidecar->fleet, &server, sidecar->loop.now_us);
   sidecar->demand_count = 0;
-  quota_tell (sidecar->quota, sidecar->loop.now_us, add_demand, sidecar);
+  quota_tick (sidecar->quota, sidecar->loop.now_us, rng_unit (&sidecar->rng),
+              add_demand, sidecar);
   peer_set_tick (sidecar->peers);
 }
 
--- a/src/mesh/admission.c
+++ b/src/mesh/admission.c
@@ -19,10 +19,11 @@
 };
 
 bool
-admission_refuses (double pressure, uint8_t priority, double draw)
+admission_refuses (double pressure, uint8_t priority, bool returned,
+                   double draw)
 {
   double share = pressure / FIRST_PRIORITY_FROM;
-  if (priority == 0)
+  if (priority == 0 || returned)
     share = (pressure - FIRST_PRIORITY_FROM) / (1 - FIRST_PRIORITY_FROM);
   return draw < share;
 }
--- a/src/mesh/admission.h
+++ b/src/mesh/admission.h
@@ -8,8 +8,11 @@
 
 /* Whether to refuse a request of PRIORITY while a share PRESSURE of them has
    to be refused.  The less important go first; the first priority is touched
-   only when refusing all others is not enough.  */
-bool admission_refuses (double pressure, uint8_t priority, double draw);
+   only when refusing all others is not enough.  So do callers who were
+   refused before and came back when they were told to: a second refusal would
+   make their wait worthless.  */
+bool admission_refuses (double pressure, uint8_t priority, bool returned,
+                        double draw);
 
 /* When a refused caller may come back, in milliseconds.  Returns are spread,
    so that they do not come as one wave, over the time in which an answer is
--- a/src/mesh/fleet.c
+++ b/src/mesh/fleet.c
@@ -283,6 +283,18 @@
   added->ratio = ratio;
 }
 
+bool
+fleet_is_leaf (const fleet_t *fleet, const char *name)
+{
+  const service_t *service = service_find (fleet, name);
+  if (service == NULL)
+    return true;
+  for (uint32_t i = 0; i < service->callee_count; i++)
+    if (service->callees[i].ratio > RATIO_LEAST)
+      return false;
+  return true;
+}
+
 /* Mean over the servers of one service, by their slots.  */
 static double
 own_pressure (const fleet_t *fleet, const char *name, int64_t now_us)
--- a/src/mesh/fleet.h
+++ b/src/mesh/fleet.h
@@ -52,6 +52,9 @@
 void fleet_put_ratio (fleet_t *fleet, const char *caller, const char *callee,
                       vm_id_t vm, double ratio);
 
+/* Whether SERVICE is not known to call any other.  */
+bool fleet_is_leaf (const fleet_t *fleet, const char *service);
+
 /* Share of the callers' requests for SERVICE that should be refused now, by
    the most loaded service that its work leads to.  */
 double fleet_pressure (fleet_t *fleet, const char *service, int64_t now_us);
--- a/src/mesh/mesh_proto.h
+++ b/src/mesh/mesh_proto.h
@@ -54,6 +54,7 @@
 struct mesh_demand {
 	mesh_name account;
 	u_int centi_per_s;
+	u_int admitted;
 };
 typedef struct mesh_demand mesh_demand;
 
--- a/src/mesh/mesh_proto.x
+++ b/src/mesh/mesh_proto.x
@@ -40,6 +40,7 @@
 {
   mesh_name account;
   unsigned int centi_per_s;
+  unsigned int admitted;
 };
 
 struct mesh_report
--- a/src/mesh/mesh_proto_xdr.c
+++ b/src/mesh/mesh_proto_xdr.c
@@ -101,6 +101,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->centi_per_s))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->admitted))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/mesh/quota.c
+++ b/src/mesh/quota.c
@@ -9,41 +9,56 @@
 
 enum
 {
-  DEMAND_US = US_PER_S /* over which demand is averaged */
+  AVERAGE_US = US_PER_S /* over which rates are averaged */
 };
 
-/* Share of a rate that a sidecar without demand keeps, split evenly, so that
-   the first requests of an account are not refused.  */
-static const double IDLE_SHARE = 0.15;
-static const double BUCKET_MIN = 1.5; /* requests at once at any sidecar */
+/* Part of a rate that goes to all sidecars alike, so that the first requests
+   of an account are not refused where none came before.  */
+static const double EVEN_SHARE = 0.15;
+/* A sidecar whose part is below one request may still spend one, if the
+   bucket holds this share of the fleet's number.  The debt that may follow is
+   paid back from the bucket.  */
+static const double WHOLE_REQUEST_SHARE = 0.25;
 
-typedef struct peer_demand_t
+typedef struct peer_account_t
 {
   vm_id_t vm;
-  double per_s;
-} peer_demand_t;
+  uint64_t incarnation;
+  uint32_t admitted;
+  uint32_t since; /* admitted since the last period */
+  double demand_per_s;
+  double admitted_per_s; /* averaged */
+} peer_account_t;
 
 typedef struct account_t
 {
   char name[NAME_BYTES];
   double rate_per_s;
   double burst;
-  double tokens;
-  int64_t filled_us;
-  uint32_t arrived; /* since the last tell */
-  double demand;    /* per second, averaged */
-  double told;
-  peer_demand_t *peers;
+  double tokens; /* of the whole fleet; may be a debt */
+  double allowance; /* of this sidecar until the next period */
+  uint32_t arrived;  /* in this period */
+  uint32_t admitted; /* since the start */
+  uint32_t admitted_before; /* as of the last period */
+  double demand_per_s;
+  double told_per_s;
+  peer_account_t *peers;
   size_t peer_count;
-  double peers_sum;
 } account_t;
 
+typedef struct silent_t
+{
+  vm_id_t vm;
+} silent_t;
+
 struct quota_t
 {
   account_t *accounts;
   size_t count;
+  silent_t *silent;
+  size_t silent_count;
   uint32_t members;
-  int64_t told_us;
+  int64_t tick_us;
 };
 
 quota_t *
@@ -64,6 +79,7 @@
   for (size_t i = 0; i < quota->count; i++)
     free (quota->accounts[i].peers);
   free (quota->accounts);
+  free (quota->silent);
   free (quota);
 }
 
@@ -92,21 +108,85 @@
   return account;
 }
 
-/* This sidecar's part of the account's rate, 0 to 1.  */
+static bool
+is_silent (const quota_t *quota, vm_id_t vm)
+{
+  for (size_t i = 0; i < quota->silent_count; i++)
+    if (quota->silent[i].vm == vm)
+      return true;
+  return false;
+}
+
+/* Sidecars that are heard, this one included, as a part of all.  */
+static double
+heard_share (const quota_t *quota)
+{
+  double silent = (double)quota->silent_count;
+  return fmax (1, quota->members - silent) / fmax (1, quota->members);
+}
+
+/* Requests a second that the silent sidecars are taken to go on with.  */
+static double
+silent_rate (const quota_t *quota, const account_t *account)
+{
+  double sum = 0;
+  for (size_t i = 0; i < account->peer_count; i++)
+    if (is_silent (quota, account->peers[i].vm))
+      sum += account->peers[i].admitted_per_s;
+  return sum;
+}
+
+static double
+heard_rate (const quota_t *quota, const account_t *account)
+{
+  double sum = 0;
+  for (size_t i = 0; i < account->peer_count; i++)
+    if (!is_silent (quota, account->peers[i].vm))
+      sum += account->peers[i].admitted_per_s;
+  return sum;
+}
+
+/* The rate that the sidecars that are heard may use together.  */
+static double
+usable_rate (const quota_t *quota, const account_t *account)
+{
+  if (quota->silent_count == 0)
+    return account->rate_per_s;
+  double silent = silent_rate (quota, account);
+  double heard = heard_rate (quota, account);
+  double spare = fmax (0, account->rate_per_s - silent - heard);
+  return fmin (account->rate_per_s, heard + spare * heard_share (quota));
+}
+
+/* This sidecar's part of what the fleet may spend, 0 to 1.  */
 static double
-share (const quota_t *quota, const account_t *account)
+own_share (const quota_t *quota, const account_t *account)
 {
-  double even = 1.0 / quota->members;
-  double all = account->told + account->peers_sum;
+  double others = 0;
+  for (size_t i = 0; i < account->peer_count; i++)
+    if (!is_silent (quota, account->peers[i].vm))
+      others += account->peers[i].demand_per_s;
+  double heard = fmax (1, quota->members - (double)quota->silent_count);
+  double all = account->told_per_s + others;
   if (all <= 0)
-    return even;
-  return IDLE_SHARE * even + (1 - IDLE_SHARE) * account->told / all;
+    return 1 / heard;
+  return EVEN_SHARE / heard + (1 - EVEN_SHARE) * account->told_per_s / all;
 }
 
+/* What this sidecar may admit in the period that begins.  */
 static double
-bucket (const quota_t *quota, const account_t *account)
+next_allowance (const quota_t *quota, const account_t *account,
+                double period_s, double draw)
 {
-  return fmax (BUCKET_MIN, account->burst * share (quota, account));
+  double usable = usable_rate (quota, account);
+  double room = account->tokens + usable * period_s;
+  if (room <= 0)
+    return 0;
+  double part = room * own_share (quota, account);
+  double whole = fmin (1, room * WHOLE_REQUEST_SHARE
+                              / fmax (1, quota->members
+                                             * WHOLE_REQUEST_SHARE));
+  return fmax (part, draw < whole ? 1 : 0);
 }
 
 void
@@ -115,30 +195,30 @@
 {
   account_t *account = find_or_add (quota, name);
   bool had = account->rate_per_s > 0;
+  if (had && account->rate_per_s == rate_per_s && account->burst == burst)
+    return;
+  /* A process that starts anew does not know what was spent of the burst.  */
+  account->tokens = had ? fmin (account->tokens, burst) : 0;
   account->rate_per_s = rate_per_s;
   account->burst = burst;
-  double most = bucket (quota, account);
-  /* A process that starts anew has not saved up a burst.  */
-  account->tokens = had ? fmin (account->tokens, most) : most / 2;
+  double share = own_share (quota, account);
+  account->allowance = fmax (1, account->tokens * share);
 }
 
 bool
-quota_take (quota_t *quota, const char *name, int64_t now_us)
+quota_take (quota_t *quota, const char *name)
 {
   account_t *account = find (quota, name);
   if (account == NULL)
     return true;
   account->arrived++;
-  if (account->rate_per_s <= 0)
-    return true;
-  double rate = account->rate_per_s * share (quota, account);
-  if (account->filled_us > 0)
-    account->tokens += rate * (double)(now_us - account->filled_us) / US_PER_S;
-  account->filled_us = now_us;
-  account->tokens = fmin (account->tokens, bucket (quota, account));
-  if (account->tokens < 1)
-    return false;
-  account->tokens -= 1;
+  if (account->rate_per_s > 0)
+    {
+      if (account->allowance < 1)
+        return false;
+      account->allowance -= 1;
+    }
+  account->admitted++;
   return true;
 }
 
@@ -146,68 +226,131 @@
 quota_return (quota_t *quota, const char *name)
 {
   account_t *account = find (quota, name);
-  if (account != NULL && account->rate_per_s > 0)
-    account->tokens
-        = fmin (account->tokens + 1, bucket (quota, account));
+  if (account == NULL || account->admitted == 0)
+    return;
+  account->admitted--;
+  account->allowance += 1;
+}
+
+static double
+averaged (double before, double sample, double period_s)
+{
+  double weight = fmin (1, period_s * US_PER_S / AVERAGE_US);
+  return before + (sample - before) * weight;
+}
+
+/* Takes what was admitted everywhere in the last period off the bucket.  */
+static void
+settle (const quota_t *quota, account_t *account, double period_s)
+{
+  double spent = (int32_t)(account->admitted - account->admitted_before);
+  account->admitted_before = account->admitted;
+  for (size_t i = 0; i < account->peer_count; i++)
+    {
+      peer_account_t *peer = &account->peers[i];
+      if (is_silent (quota, peer->vm))
+        continue;
+      spent += (int32_t)peer->since;
+      peer->admitted_per_s = averaged (peer->admitted_per_s,
+                                       (int32_t)peer->since / period_s,
+                                       period_s);
+      peer->since = 0;
+    }
+  double most = account->burst * heard_share (quota);
+  account->tokens += usable_rate (quota, account) * period_s - spent;
+  account->tokens = fmin (account->tokens, most);
 }
 
 void
-quota_tell (quota_t *quota, int64_t now_us, quota_visit_t visit, void *ctx)
+quota_tick (quota_t *quota, int64_t now_us, double draw, quota_visit_t visit,
+            void *ctx)
 {
-  int64_t passed_us = now_us - quota->told_us;
-  if (passed_us <= 0)
-    return;
-  double weight = fmin (1, (double)passed_us / DEMAND_US);
+  double period_s = (double)(now_us - quota->tick_us) / US_PER_S;
+  if (quota->tick_us == 0 || period_s <= 0)
+    period_s = 0.25;
+  quota->tick_us = now_us;
   for (size_t i = 0; i < quota->count; i++)
     {
       account_t *account = &quota->accounts[i];
-      double rate = account->arrived * (double)US_PER_S / (double)passed_us;
-      account->demand += (rate - account->demand) * weight;
+      account->demand_per_s = averaged (
+          account->demand_per_s, account->arrived / period_s, period_s);
       account->arrived = 0;
-      account->told = account->demand < 0.01 ? 0 : account->demand;
-      visit (ctx, account->name, account->told);
+      account->told_per_s
+          = account->demand_per_s < 0.01 ? 0 : account->demand_per_s;
+      if (account->rate_per_s > 0)
+        {
+          settle (quota, account, period_s);
+          account->allowance
+              = next_allowance (quota, account, period_s, draw);
+        }
+      quota_news_t news
+          = { account->name, account->told_per_s, account->admitted };
+      visit (ctx, &news);
     }
-  quota->told_us = now_us;
 }
 
-static void
-put_peer (account_t *account, vm_id_t vm, double per_s)
+static peer_account_t *
+peer_find_or_add (account_t *account, vm_id_t vm)
 {
   for (size_t i = 0; i < account->peer_count; i++)
     if (account->peers[i].vm == vm)
-      {
-        account->peers_sum += per_s - account->peers[i].per_s;
-        account->peers[i].per_s = per_s;
-        return;
-      }
+      return &account->peers[i];
   account->peers = realloc (
       account->peers, (account->peer_count + 1) * sizeof *account->peers);
   if (account->peers == NULL)
     abort ();
-  account->peers[account->peer_count++] = (peer_demand_t){ vm, per_s };
-  account->peers_sum += per_s;
+  peer_account_t *peer = &account->peers[account->peer_count++];
+  *peer = (peer_account_t){ .vm = vm };
+  return peer;
 }
 
 void
-quota_heard (quota_t *quota, vm_id_t vm, const char *name, double per_s)
+quota_heard (quota_t *quota, vm_id_t vm, uint64_t incarnation,
+             const quota_news_t *news)
 {
-  put_peer (find_or_add (quota, name), vm, per_s);
+  account_t *account = find_or_add (quota, news->account);
+  peer_account_t *peer = peer_find_or_add (account, vm);
+  bool known = peer->incarnation == incarnation;
+  /* All that a new process has admitted is news; what an old one admitted
+     before it was first heard is not.  */
+  uint32_t since = known ? news->admitted - peer->admitted
+                   : peer->incarnation != 0 ? news->admitted
+                                            : 0;
+  peer->incarnation = incarnation;
+  peer->admitted = news->admitted;
+  peer->since += since;
+  peer->demand_per_s = news->demand_per_s;
+}
+
+void
+quota_silent (quota_t *quota, vm_id_t vm, bool silent)
+{
+  for (size_t i = 0; i < quota->silent_count; i++)
+    if (quota->silent[i].vm == vm)
+      {
+        if (!silent)
+          quota->silent[i] = quota->silent[--quota->silent_count];
+        return;
+      }
+  if (!silent)
+    return;
+  quota->silent = realloc (quota->silent, (quota->silent_count + 1)
+                                              * sizeof *quota->silent);
+  if (quota->silent == NULL)
+    abort ();
+  quota->silent[quota->silent_count++].vm = vm;
 }
 
 void
 quota_forget (quota_t *quota, vm_id_t vm)
 {
+  quota_silent (quota, vm, false);
   for (size_t i = 0; i < quota->count; i++)
     {
       account_t *account = &quota->accounts[i];
       for (size_t j = 0; j < account->peer_count; j++)
         if (account->peers[j].vm == vm)
-          {
-            account->peers_sum -= account->peers[j].per_s;
-            account->peers[j] = account->peers[--account->peer_count];
-          }
-      if (account->peer_count == 0)
-        account->peers_sum = 0;
+          account->peers[j] = account->peers[--account->peer_count];
     }
 }
 
--- a/src/mesh/quota.h
+++ b/src/mesh/quota.h
@@ -1,10 +1,15 @@
 #ifndef REDWINGFORD_QUOTA_H
 #define REDWINGFORD_QUOTA_H
 
-/* Shares of the client accounts' rates.  Each sidecar tells the others how
-   much of each account it sees; a sidecar's share of a rate is its part of
-   the demand as last told.  A sidecar that falls silent keeps its part until
-   membership drops it, so that both sides of a cut stay within the rate.  */
+/* The client accounts' rates over all sidecars, without a request between
+   them: each tells, every period, how many requests of each account it has
+   admitted and how many came.  From that every sidecar keeps the same bucket
+   of tokens for the whole fleet, and may spend its part of it, by its part of
+   the demand, until the next period.  What it leaves stays in the bucket.
+
+   A sidecar that falls silent is taken to go on as it did; of what nobody
+   used, each side of a cut spends no more than its number of sidecars
+   entitles it to.  */
 
 #include "types.h"
 
@@ -17,23 +22,33 @@
 void quota_set_limit (quota_t *quota, const char *account, double rate_per_s,
                       double burst);
 
-/* One request of ACCOUNT arrives: whether it is within this sidecar's share.
-   An account without a limit always is.  */
-bool quota_take (quota_t *quota, const char *account, int64_t now_us);
+/* One request of ACCOUNT arrives: whether it is within the rate.  An account
+   without a limit always is.  */
+bool quota_take (quota_t *quota, const char *account);
 
 /* Gives back what was taken for a request that did not run.  */
 void quota_return (quota_t *quota, const char *account);
 
-/* Demand seen here of late, told to the others with the next report; from
-   then on it also decides the own share.  */
-typedef void (*quota_visit_t) (void *ctx, const char *account,
-                               double per_s);
-void quota_tell (quota_t *quota, int64_t now_us, quota_visit_t visit,
-                 void *ctx);
-
-/* What another sidecar has told.  */
-void quota_heard (quota_t *quota, vm_id_t vm, const char *account,
-                  double per_s);
+/* What a sidecar tells of one account.  */
+typedef struct quota_news_t
+{
+  const char *account;
+  double demand_per_s; /* requests that came, averaged */
+  uint32_t admitted;   /* since the sidecar's start; wraps around */
+} quota_news_t;
+
+/* A period has passed.  Visits what is to be told to the others.  DRAW is
+   from [0, 1).  */
+typedef void (*quota_visit_t) (void *ctx, const quota_news_t *news);
+void quota_tick (quota_t *quota, int64_t now_us, double draw,
+                 quota_visit_t visit, void *ctx);
+
+/* What the sidecar VM has told.  */
+void quota_heard (quota_t *quota, vm_id_t vm, uint64_t incarnation,
+                  const quota_news_t *news);
+
+/* VM cannot be heard of late, or can again.  */
+void quota_silent (quota_t *quota, vm_id_t vm, bool silent);
 
 /* The sidecar is no member any more.  */
 void quota_forget (quota_t *quota, vm_id_t vm);
--- a/src/mesh/retry_pool.c
+++ b/src/mesh/retry_pool.c
@@ -3,9 +3,11 @@
 #include <math.h>
 #include <stdio.h>
 
-/* Of first sendings; half of what the users allow, since calls made by a run
-   that is itself a repeat count as repeats too.  */
-static const double EARNED = 0.1;
+/* Of first sendings.  The users allow a fifth at each service; calls made by
+   a run that is itself a repeat count as repeats too, so a service may see
+   those of three levels above it beside its own.  */
+static const double EARNED_LEAF = 0.08;
+static const double EARNED = 0.03;
 /* Of the reserve that is handed out; the rest covers repeated calls.  */
 static const double RESERVE_SHARE = 0.5;
 
@@ -24,10 +26,11 @@
 }
 
 void
-retry_pool_earn (retry_pool_t *pool, double reserve, uint32_t sidecars)
+retry_pool_earn (retry_pool_t *pool, bool leaf, double reserve,
+                 uint32_t sidecars)
 {
-  pool->tokens
-      = fmin (pool->tokens + EARNED, most (reserve, sidecars));
+  pool->tokens = fmin (pool->tokens + (leaf ? EARNED_LEAF : EARNED),
+                       most (reserve, sidecars));
 }
 
 bool
--- a/src/mesh/retry_pool.h
+++ b/src/mesh/retry_pool.h
@@ -17,8 +17,10 @@
 void retry_pool_open (retry_pool_t *pool, const char *service,
                       double reserve, uint32_t sidecars);
 
-/* A first sending.  */
-void retry_pool_earn (retry_pool_t *pool, double reserve, uint32_t sidecars);
+/* A first sending.  Of a LEAF, which calls no further, more is earned: a
+   repeat there repeats nothing else.  */
+void retry_pool_earn (retry_pool_t *pool, bool leaf, double reserve,
+                      uint32_t sidecars);
 
 /* Takes one second sending; false when none is left.  */
 bool retry_pool_take (retry_pool_t *pool);
