Wait by the work ahead and press by the wait of calls

Cause: one mean run time for all requests made a short call look as long as the long requests that share its server: calls were refused with room left, and servers that ran the longer mix were taken for slow. Ruled out: the aim of the pressure's load alone (0.97 of the slots). Change: sidecars tell with each call how long its route's runs take; waits add up that work; the slowness of a server is told by route; pressure follows the time that calls wait (aim 40 ms).

--- a/src/edge/entry_point.c
+++ b/src/edge/entry_point.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "mesh/admission.h"
 #include "mesh/retry_pool.h"
@@ -12,6 +13,8 @@
 {
   PLACES_MAX = 8,    /* backend servers tried for one request */
   SERVICES_MAX = 64, /* with counts of their own */
+  ROUTE_RUNS = 4096, /* routes with a mean of their own, by hash */
+  RUN_SCALE_US = 100 * US_PER_MS, /* what a route's mean counts as */
   MARGIN_US = 20 * US_PER_MS,  /* for an answer to reach its caller in time */
   RESEND_US = 50 * US_PER_MS,  /* between two looks for a way */
   WINDOW_BYTES = 256 * 1024,   /* of an answer that its caller has not read */
@@ -25,6 +28,12 @@
   retry_pool_t pool;
 } callee_count_t;
 
+/* How long the runs of one route take.  */
+typedef struct route_runs_t
+{
+  double mean_us; /* 0 before the first */
+} route_runs_t;
+
 typedef struct exchange_t exchange_t;
 
 struct entry_point_t
@@ -35,6 +44,7 @@
   int64_t *timeouts_us; /* the longest that callers of each route wait */
   callee_count_t services[SERVICES_MAX];
   uint32_t service_count;
+  route_runs_t runs[ROUTE_RUNS];
   uint32_t sidecars;
   entry_state_t state;
 };
@@ -57,6 +67,7 @@
   char attempt_id[ATTEMPT_ID_BYTES];
   char service[NAME_BYTES]; /* that is to run it */
   char account[NAME_BYTES];
+  route_runs_t *runs; /* of its route */
   bool idempotent;
   bool from_backend;
   bool returned; /* its caller was refused before and came back as told */
@@ -79,6 +90,8 @@
   bool may_have_run;
 };
 
+static const double RUN_WEIGHT = 1.0 / 32; /* of one run in a mean */
+
 static const char *const end_names[ENTRY_END_COUNT] = {
 #define ENTRY_END_NAME(id, name) [ENTRY_##id] = (name),
   ENTRY_END_TABLE (ENTRY_END_NAME)
@@ -234,12 +247,28 @@
   return true;
 }
 
+/* A run's time as a part of its route's mean, so that servers compare
+   whatever mix of routes each has run.  */
+static int64_t
+scaled_run_us (exchange_t *exchange, int64_t run_us)
+{
+  route_runs_t *runs = exchange->runs;
+  if (run_us <= 0)
+    return 0;
+  if (runs->mean_us <= 0)
+    runs->mean_us = (double)run_us;
+  runs->mean_us += ((double)run_us - runs->mean_us) * RUN_WEIGHT;
+  return (int64_t)(RUN_SCALE_US * (double)run_us / runs->mean_us) + 1;
+}
+
 static void
 told_done (exchange_t *exchange, run_result_t result, int64_t run_us,
            const server_load_t *load)
 {
   fleet_done (exchange->entry->parts.fleet, exchange->service, exchange->vm,
-              result, run_us, load, exchange->entry->parts.loop->now_us);
+              result,
+              result == RUN_OK ? scaled_run_us (exchange, run_us) : run_us,
+              load, exchange->entry->parts.loop->now_us);
 }
 
 static void on_reply (void *ctx, const call_reply_t *reply, const char *body,
@@ -268,6 +297,7 @@
     .deadline_us = exchange->deadline_us - MARGIN_US,
     .wait_us = admission_wait_us (exchange->from_backend,
                                   exchange->target_us, left_us),
+    .expected_us = (int64_t)exchange->runs->mean_us,
     .priority = exchange->priority,
     .idempotent = exchange->idempotent,
     .from_backend = exchange->from_backend,
@@ -724,6 +754,9 @@
     left_us = timeout_us;
   exchange->deadline_us = begun_us + left_us;
   exchange->target_us = route->target_us;
+  exchange->runs
+      = &entry->runs[XXH3_64bits (route->name, strlen (route->name))
+                     % ROUTE_RUNS];
   exchange->idempotent = route->idempotent;
   exchange->priority = route->priority;
   exchange->attempts_left = route->attempts - 1;
--- a/src/edge/peer_stream.c
+++ b/src/edge/peer_stream.c
@@ -100,6 +100,7 @@
     .incarnation = call->incarnation,
     .timeout_ms = left_ms (link->peers, call->deadline_us),
     .wait_ms = (uint32_t)(call->wait_us / US_PER_MS),
+    .expected_us = (uint32_t)call->expected_us,
     .priority = call->priority,
     .flags = (call->idempotent ? CALL_IDEMPOTENT : 0)
              | (call->from_backend ? CALL_FROM_BACKEND : 0)
@@ -290,6 +291,7 @@
     .deadline_us
     = peers->loop->now_us + (int64_t)told->timeout_ms * US_PER_MS,
     .wait_us = (int64_t)told->wait_ms * US_PER_MS,
+    .expected_us = told->expected_us,
     .priority = (uint8_t)told->priority,
     .idempotent = (told->flags & CALL_IDEMPOTENT) != 0,
     .from_backend = (told->flags & CALL_FROM_BACKEND) != 0,
--- a/src/edge/runner.c
+++ b/src/edge/runner.c
@@ -514,6 +514,7 @@
     .priority = call->priority,
     .from_backend = call->from_backend,
     .wait_us = call->wait_us,
+    .expected_us = call->expected_us,
     .deadline_us = call->deadline_us,
     .handle = run,
   };
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -71,6 +71,7 @@
   loop_task_t beliefs;
   phase_t phase;
   int64_t stop_us; /* when the stop began */
+  int64_t load_logged_us;
   mesh_ratio ratios[REPORT_LIST_MAX];
   mesh_demand demands[REPORT_LIST_MAX];
   uint32_t demand_count;
@@ -418,6 +419,22 @@
 
 /* --- time -------------------------------------------------------------- */
 
+/* One line a second while the backend server is near its limits.  */
+static void
+log_load (sidecar_t *sidecar)
+{
+  server_load_t load = runner_load (sidecar->runner);
+  int64_t now_us = sidecar->loop.now_us;
+  bool busy = load.queued > 0 || load.pressure_permille > 0;
+  if (!busy || now_us - sidecar->load_logged_us < US_PER_S)
+    return;
+  sidecar->load_logged_us = now_us;
+  event_log (&sidecar->log, EVENT_BELIEF, "load",
+             "running=%u queued=%u window=%u pressure=%u run-us=%lld",
+             load.running, load.queued, load.window, load.pressure_permille,
+             (long long)runner_run_us (sidecar->runner));
+}
+
 static void
 next_phase (sidecar_t *sidecar)
 {
@@ -453,6 +470,7 @@
   if (due_us < TICK_LEAST_US)
     due_us = TICK_LEAST_US;
   backend_watch_tick (sidecar->watch);
+  log_load (sidecar);
   if (sidecar->phase != PHASE_RUNNING)
     next_phase (sidecar);
   loop_timer (&sidecar->loop, timer, due_us < TICK_US ? due_us : TICK_US);
--- a/src/mesh/call.h
+++ b/src/mesh/call.h
@@ -26,7 +26,8 @@
   const char *service;  /* that is to run it */
   uint64_t incarnation; /* of the daemon that may run it; 0 is any */
   int64_t deadline_us;
-  int64_t wait_us; /* longest time in the queue */
+  int64_t wait_us;     /* longest time in the queue */
+  int64_t expected_us; /* that its run takes; 0 is "not known" */
   uint8_t priority;
   bool idempotent;
   bool from_backend; /* called by a backend server: other work hangs on it */
--- a/src/mesh/intake.c
+++ b/src/mesh/intake.c
@@ -10,6 +10,7 @@
 {
   QUEUE_CAPACITY = 2048, /* entries; bounds memory, waits are bounded first */
   PRESSURE_PERIOD_US = 100 * US_PER_MS, /* between two steps of pressure */
+  WAIT_AIM_US = 40 * US_PER_MS, /* of calls, while the server is loaded */
   COLD_BURST = 4 /* requests at once after a quiet time on a cold server */
 };
 
@@ -17,10 +18,10 @@
  */
 static const double WINDOW_SHARE = 0.95;
 static const double RUN_WEIGHT = 1.0 / 32; /* of one run in the mean */
-/* Gain of the pressure's integral control, a second of excess load being
-   answered by about this share of refusals.  */
-static const double PRESSURE_GAIN = 0.10;
-static const double PRESSURE_LOAD = 0.97; /* load that is aimed at */
+/* Steps of the pressure's integral control.  A change shows after the time
+   that a tree of calls takes, about a second.  */
+static const double PRESSURE_UP = 0.04;
+static const double PRESSURE_DOWN = 0.02;
 static const double PRESSURE_MAX = 0.95;  /* some always pass, to sense */
 static const double COLD_RATE_SHARE = 1.1; /* of the rate that is borne */
 
@@ -31,6 +32,8 @@
   queue_t *queue;
   uint32_t running;
   uint32_t queued_calls; /* of the queue, from backend servers */
+  int64_t queued_us;     /* work that is queued */
+  int64_t queued_calls_us;
   double run_us;
   double cold_tokens;
   int64_t cold_us; /* when cold_tokens were last counted */
@@ -114,14 +117,23 @@
   return (intake_entry_t *)((char *)entry - offsetof (intake_entry_t, entry));
 }
 
+static void
+count_queued (intake_t *intake, const intake_entry_t *entry, int sign)
+{
+  intake->queued_us += sign * entry->expected_us;
+  if (!entry->from_backend)
+    return;
+  intake->queued_calls += (uint32_t)sign;
+  intake->queued_calls_us += sign * entry->expected_us;
+}
+
 static intake_entry_t *
 dequeued (intake_t *intake, queue_entry_t *entry)
 {
   if (entry == NULL)
     return NULL;
   intake_entry_t *found = from_queue (entry);
-  if (found->from_backend)
-    intake->queued_calls--;
+  count_queued (intake, found, -1);
   return found;
 }
 
@@ -133,33 +145,20 @@
   intake->actions.refuse (intake->actions.ctx, entry, cause);
 }
 
-/* Requests that the server ends in a second.  */
-static double
-throughput_per_s (const intake_t *intake, int64_t now_us)
-{
-  double run_us = intake->run_us > 0 ? intake->run_us : US_PER_MS;
-  double rate = window (intake) * US_PER_S / run_us;
-  if (intake_is_cold (intake, now_us))
-    rate = fmin (rate, intake->server.cold_per_s);
-  return rate;
-}
-
+/* Until a request that comes now gets a slot: the work ahead of it, and the
+   rest of one run, spread over the slots.  */
 static int64_t
 wait_us (const intake_t *intake, bool from_backend, int64_t now_us)
 {
   uint32_t ahead = from_backend ? intake->queued_calls
                                 : queue_count (intake->queue);
-  if (ahead == 0 && intake->running < window (intake)
-      && !intake_is_cold (intake, now_us))
+  double ahead_us = (double)(from_backend ? intake->queued_calls_us
+                                          : intake->queued_us);
+  if (intake_is_cold (intake, now_us))
+    return (int64_t)((ahead + 1) * US_PER_S / intake->server.cold_per_s);
+  if (ahead == 0 && intake->running < window (intake))
     return 0;
-  return (int64_t)((ahead + 1) * US_PER_S
-                   / throughput_per_s (intake, now_us));
-}
-
-int64_t
-intake_wait_us (const intake_t *intake, bool from_backend)
-{
-  return wait_us (intake, from_backend, intake->pressure_us);
+  return (int64_t)((ahead_us + intake->run_us) / window (intake));
 }
 
 /* Why the server takes nothing at all.  */
@@ -209,10 +208,9 @@
 
 /* Longest useful wait: the run itself must still fit.  */
 static int64_t
-wait_bound_us (const intake_t *intake, const intake_entry_t *entry,
-               int64_t now_us)
+wait_bound_us (const intake_entry_t *entry, int64_t now_us)
 {
-  int64_t left_us = entry->deadline_us - now_us - (int64_t)intake->run_us;
+  int64_t left_us = entry->deadline_us - now_us - entry->expected_us;
   return left_us < entry->wait_us ? left_us : entry->wait_us;
 }
 
@@ -227,6 +225,8 @@
       *cause = CAUSE_DEADLINE;
       return INTAKE_REFUSED;
     }
+  if (entry->expected_us == 0)
+    entry->expected_us = (int64_t)intake->run_us;
   uint32_t ahead = entry->from_backend ? intake->queued_calls
                                        : queue_count (intake->queue);
   if (ahead == 0 && has_room (intake, now_us))
@@ -234,7 +234,7 @@
       start (intake, entry, now_us);
       return INTAKE_START;
     }
-  int64_t bound_us = wait_bound_us (intake, entry, now_us);
+  int64_t bound_us = wait_bound_us (entry, now_us);
   if (wait_us (intake, entry->from_backend, now_us) > bound_us)
     {
       *cause = intake_is_cold (intake, now_us) ? CAUSE_COLD
@@ -250,8 +250,7 @@
     .work_sunk = entry->from_backend,
     .expire_us = now_us + bound_us,
   };
-  if (entry->from_backend)
-    intake->queued_calls++;
+  count_queued (intake, entry, 1);
   queue_entry_t *evicted
       = queue_push (intake->queue, &entry->entry, bound_us, now_us);
   if (evicted == &entry->entry)
@@ -299,20 +298,20 @@
   dequeued (intake, &entry->entry);
 }
 
-/* Integral control: load above the aim raises the share that callers' entry
-   points refuse, load below lowers it.  */
+/* Integral control: calls that wait longer than is aimed at raise the share
+   that callers' entry points refuse, shorter waits lower it.  */
 static void
 step_pressure (intake_t *intake)
 {
-  double load = (double)(intake->running + queue_count (intake->queue))
-                / window (intake);
-  double excess = fmin (1, load - PRESSURE_LOAD);
+  double wait = (double)wait_us (intake, true, intake->pressure_us);
+  double excess = fmin (1, wait / WAIT_AIM_US - 1);
   if (intake->calls_refused > 0)
-    excess = fmax (excess, 0.5);
+    excess = 1;
   intake->calls_refused = 0;
   if (!intake->server.known)
     excess = -1;
-  intake->pressure += PRESSURE_GAIN * excess;
+  intake->pressure
+      += excess * (excess > 0 ? PRESSURE_UP : PRESSURE_DOWN);
   intake->pressure = fmin (PRESSURE_MAX, fmax (0, intake->pressure));
 }
 
--- a/src/mesh/intake.h
+++ b/src/mesh/intake.h
@@ -6,8 +6,8 @@
 
    - Calls of other backend servers go before requests of callers: work that
      has been done already hangs on them.
-   - A request waits only while it can still end in time, by the server's mean
-     run time and what is ahead of it; it is refused at once otherwise.
+   - A request waits only while it can still end in time, by the work that is
+     ahead of it and its own; it is refused at once otherwise.
    - A server that is full may never answer, so no more than its slots run.
    - A cold server gets requests at the rate that it bears.
    - PRESSURE tells the sidecars where callers enter what share of them to
@@ -25,7 +25,8 @@
   uint32_t account; /* number for fairness between client accounts */
   uint8_t priority;
   bool from_backend;
-  int64_t wait_us; /* longest time in the queue */
+  int64_t wait_us;     /* longest time in the queue */
+  int64_t expected_us; /* that its run takes; 0 is "not known" */
   int64_t deadline_us;
   void *handle; /* the caller's */
   /* Private.  */
@@ -86,9 +87,6 @@
 
 server_load_t intake_load (const intake_t *intake);
 
-/* How long a request that comes now would wait.  */
-int64_t intake_wait_us (const intake_t *intake, bool from_backend);
-
 /* Mean time that a run takes; 0 before the first.  */
 int64_t intake_run_us (const intake_t *intake);
 
--- a/src/mesh/mesh_proto.h
+++ b/src/mesh/mesh_proto.h
@@ -96,6 +96,7 @@
 	u_quad_t incarnation;
 	u_int timeout_ms;
 	u_int wait_ms;
+	u_int expected_us;
 	u_int priority;
 	u_int flags;
 	u_int body_size;
--- a/src/mesh/mesh_proto.x
+++ b/src/mesh/mesh_proto.x
@@ -73,6 +73,7 @@
   unsigned hyper incarnation;
   unsigned int timeout_ms;
   unsigned int wait_ms;
+  unsigned int expected_us;
   unsigned int priority;
   unsigned int flags;
   unsigned int body_size;
--- a/src/mesh/mesh_proto_xdr.c
+++ b/src/mesh/mesh_proto_xdr.c
@@ -246,12 +246,14 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->timeout_ms))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->wait_ms))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->expected_us))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->priority))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->flags))
@@ -262,6 +264,7 @@
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->timeout_ms);
 		IXDR_PUT_U_LONG(buf, objp->wait_ms);
+		IXDR_PUT_U_LONG(buf, objp->expected_us);
 		IXDR_PUT_U_LONG(buf, objp->priority);
 		IXDR_PUT_U_LONG(buf, objp->flags);
 		IXDR_PUT_U_LONG(buf, objp->body_size);
@@ -288,12 +291,14 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->timeout_ms))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->wait_ms))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->expected_us))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->priority))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->flags))
@@ -304,6 +309,7 @@
 		} else {
 		objp->timeout_ms = IXDR_GET_U_LONG(buf);
 		objp->wait_ms = IXDR_GET_U_LONG(buf);
+		objp->expected_us = IXDR_GET_U_LONG(buf);
 		objp->priority = IXDR_GET_U_LONG(buf);
 		objp->flags = IXDR_GET_U_LONG(buf);
 		objp->body_size = IXDR_GET_U_LONG(buf);
@@ -335,6 +341,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->wait_ms))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->expected_us))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->priority))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->flags))
