--- a/src/edge/entry_point.c
+++ b/src/edge/entry_point.c
@@ -16,17 +16,31 @@
   ROUTE_RUNS = 4096, /* routes with a mean of their own, by hash */
   RUN_SCALE_US = 100 * US_PER_MS, /* what a route's mean counts as */
   MARGIN_US = 20 * US_PER_MS,  /* for an answer to reach its caller in time */
+  TREE_SERVICES = 16, /* that one request may lead to */
+  PRESSURE_CACHE_US = 50 * US_PER_MS,
   RESEND_US = 50 * US_PER_MS,  /* between two looks for a way */
   WINDOW_BYTES = 256 * 1024,   /* of an answer that its caller has not read */
   FIELD_BYTES = 256
 };
 
-typedef struct callee_count_t
+/* What is kept of a route while a policy is in force.  */
+typedef struct route_state_t
+{
+  split_t split;
+  int64_t longest_timeout_us; /* that callers have told */
+  int64_t pressure_us;        /* when the rest was added up */
+  double pressure; /* of the most pressed service that its runs lead to */
+  double cost;     /* of a run there, as a part of the mean request's */
+  double cost_us;
+  double *mean_us; /* what a request costs that service, on average */
+} route_state_t;
+
+/* What is kept of a service.  */
+typedef struct service_state_t
 {
-  char service[NAME_BYTES];
-  uint64_t count;
   retry_pool_t pool;
-} callee_count_t;
+  double cost_us; /* of the requests that lead to it, on average */
+} service_state_t;
 
 /* How long the runs of one route take.  */
 typedef struct route_runs_t
@@ -40,9 +54,9 @@
 {
   entry_parts_t parts;
   const policy_t *policy;
-  split_t *splits;      /* one a route of the policy */
-  int64_t *timeouts_us; /* the longest that callers of each route wait */
-  callee_count_t services[SERVICES_MAX];
+  uint64_t edition;      /* counts the policies that were in force */
+  route_state_t *routes; /* of the policy */
+  service_state_t services[SERVICES_MAX];
   uint32_t service_count;
   route_runs_t runs[ROUTE_RUNS];
   uint32_t sidecars;
@@ -66,6 +80,9 @@
   step_t step;
   char attempt_id[ATTEMPT_ID_BYTES];
   char service[NAME_BYTES]; /* that is to run it */
+  char route[NAME_BYTES];
+  uint64_t edition; /* of the policy that it was admitted by */
+  int number;       /* of its route there */
   char account[NAME_BYTES];
   route_runs_t *runs; /* of its route */
   bool idempotent;
@@ -73,6 +90,7 @@
   bool returned; /* its caller was refused before and came back as told */
   bool charged; /* a token of the account's rate was taken */
   uint8_t priority;
+  uint8_t route_priority;
   uint32_t attempts_left; /* servers that it may still reach */
   int64_t target_us;
   int64_t deadline_us;
@@ -91,6 +109,8 @@
 };
 
 static const double RUN_WEIGHT = 1.0 / 32; /* of one run in a mean */
+static const double COST_WEIGHT = 1.0 / 64; /* of one request in a mean */
+static const double RUNS_LEAST = 0.05;     /* rarer calls do not count */
 
 static const char *const end_names[ENTRY_END_COUNT] = {
 #define ENTRY_END_NAME(id, name) [ENTRY_##id] = (name),
@@ -104,20 +124,126 @@
   return end_names[end];
 }
 
-static callee_count_t *
-service_counts (entry_point_t *entry, const char *service)
+static service_state_t *
+service_state (entry_point_t *entry, const char *service)
 {
   for (uint32_t i = 0; i < entry->service_count; i++)
-    if (strcmp (entry->services[i].service, service) == 0)
+    if (strcmp (entry->services[i].pool.service, service) == 0)
       return &entry->services[i];
   if (entry->service_count == SERVICES_MAX)
     return &entry->services[SERVICES_MAX - 1];
-  callee_count_t *counts = &entry->services[entry->service_count++];
-  *counts = (callee_count_t){ .count = 0 };
-  snprintf (counts->service, sizeof counts->service, "%s", service);
-  retry_pool_open (&counts->pool, service, entry->parts.retry_reserve,
+  service_state_t *state = &entry->services[entry->service_count++];
+  *state = (service_state_t){ .cost_us = 0 };
+  retry_pool_open (&state->pool, service, entry->parts.retry_reserve,
                    entry->sidecars);
-  return counts;
+  return state;
+}
+
+static retry_pool_t *
+retry_pool (entry_point_t *entry, const char *service)
+{
+  return &service_state (entry, service)->pool;
+}
+
+/* --- pressure ---------------------------------------------------------- */
+
+/* What a run of one route costs one service.  */
+typedef struct tree_cost_t
+{
+  const char *service;
+  double pressure;
+  double cost_us; /* of its backend servers' time */
+} tree_cost_t;
+
+typedef struct tree_walk_t
+{
+  entry_point_t *entry;
+  int64_t now_us;
+  tree_cost_t costs[TREE_SERVICES];
+  uint32_t count;
+} tree_walk_t;
+
+static size_t
+runs_slot (const char *route)
+{
+  return XXH3_64bits (route, strlen (route)) % ROUTE_RUNS;
+}
+
+static void
+add_cost (tree_walk_t *walk, const char *service, double cost_us)
+{
+  for (uint32_t i = 0; i < walk->count; i++)
+    if (strcmp (walk->costs[i].service, service) == 0)
+      {
+        walk->costs[i].cost_us += cost_us;
+        return;
+      }
+  if (walk->count == TREE_SERVICES)
+    return;
+  walk->costs[walk->count++] = (tree_cost_t){
+    service,
+    fleet_pressure (walk->entry->parts.fleet, service, walk->now_us), cost_us
+  };
+}
+
+static void
+add_route (void *ctx, const char *name, double runs, double run_us)
+{
+  tree_walk_t *walk = ctx;
+  const policy_t *policy = walk->entry->policy;
+  int number = policy_route_named (policy, name);
+  if (number < 0 || runs < RUNS_LEAST)
+    return;
+  const policy_route_t *route = &policy->routes[number];
+  for (uint32_t i = 0; i < route->part_count; i++)
+    add_cost (walk, policy->services[route->parts[i].service].name,
+              runs * run_us);
+}
+
+/* The most pressed service that a run of this route leads to.  */
+static void
+look_down (exchange_t *exchange, route_state_t *state, int64_t now_us)
+{
+  entry_point_t *entry = exchange->entry;
+  tree_walk_t walk = { .entry = entry, .now_us = now_us };
+  add_cost (&walk, exchange->service, exchange->runs->mean_us);
+  call_graph_each (entry->parts.graph, exchange->route, now_us, add_route,
+                   &walk);
+  const tree_cost_t *most = &walk.costs[0];
+  for (uint32_t i = 1; i < walk.count; i++)
+    if (walk.costs[i].pressure > most->pressure)
+      most = &walk.costs[i];
+  state->pressure = most->pressure;
+  state->pressure_us = now_us;
+  double *mean_us = &service_state (entry, most->service)->cost_us;
+  state->cost = *mean_us > 0 && most->cost_us > 0 ? most->cost_us / *mean_us
+                                                  : 1;
+  state->cost_us = most->cost_us;
+  state->mean_us = mean_us;
+}
+
+/* What presses on this request, as far as its entry point can tell.  */
+static const route_state_t *
+tree_state (exchange_t *exchange)
+{
+  entry_point_t *entry = exchange->entry;
+  int64_t now_us = entry->parts.loop->now_us;
+  route_state_t *state = &entry->routes[exchange->number];
+  if (state->pressure_us == 0
+      || now_us - state->pressure_us > PRESSURE_CACHE_US)
+    look_down (exchange, state, now_us);
+  return state;
+}
+
+static bool
+is_pressed (exchange_t *exchange)
+{
+  entry_point_t *entry = exchange->entry;
+  if (exchange->edition == entry->edition)
+    return tree_state (exchange)->pressure > 0;
+  return fleet_pressure (entry->parts.fleet, exchange->service,
+                         entry->parts.loop->now_us)
+         > 0;
 }
 
 /* --- ends -------------------------------------------------------------- */
@@ -293,6 +419,7 @@
     .account = exchange->account,
     .caller = entry->parts.service,
     .service = exchange->service,
+    .route = exchange->route,
     .incarnation = exchange->incarnation,
     .deadline_us = exchange->deadline_us - MARGIN_US,
     .wait_us = admission_wait_us (exchange->from_backend,
@@ -392,7 +519,7 @@
   if (!exchange->idempotent || exchange->attempts_left == 0
       || left_us < 2 * MARGIN_US)
     return false;
-  if (!retry_pool_take (&service_counts (entry, exchange->service)->pool))
+  if (!retry_pool_take (retry_pool (entry, exchange->service)))
     return false;
   exchange->attempts_left--;
   entry->state.retries[exchange->cause]++;
@@ -460,15 +587,12 @@
 static bool
 tries_again (exchange_t *exchange, const call_reply_t *reply)
 {
-  entry_point_t *entry = exchange->entry;
   if (reply->status < 500 || reply->status == 501 || reply->status == 504
       || !exchange->idempotent)
     return false;
   /* Under load the cause is most likely further down, where another try only
      adds to it.  */
-  if (fleet_pressure (entry->parts.fleet, exchange->service,
-                      entry->parts.loop->now_us)
-      > 0)
+  if (is_pressed (exchange))
     return false;
   exchange->cause = CAUSE_CUT;
   return may_repeat (exchange);
@@ -549,7 +673,7 @@
   /* A server that was reached counts among those that are sent to again.  */
   if (failure->cause == CAUSE_SERVER_SHED)
     {
-      if (!retry_pool_take (&service_counts (entry, exchange->service)->pool))
+      if (!retry_pool_take (retry_pool (entry, exchange->service)))
         {
           finish_unanswered (exchange, ENTRY_NO_ROOM);
           return;
@@ -703,7 +827,6 @@
 admit (exchange_t *exchange)
 {
   entry_point_t *entry = exchange->entry;
-  int64_t now_us = entry->parts.loop->now_us;
   if (exchange->from_backend)
     return true;
   if (exchange->account[0] != '\0')
@@ -715,11 +838,17 @@
         }
       exchange->charged = true;
     }
-  double pressure
-      = fleet_pressure (entry->parts.fleet, exchange->service, now_us);
-  if (pressure > 0
-      && admission_refuses (pressure, exchange->priority, exchange->returned,
-                            draw (entry)))
+  const route_state_t *tree = tree_state (exchange);
+  if (tree->cost_us > 0)
+    *tree->mean_us += (tree->cost_us - *tree->mean_us) * COST_WEIGHT;
+  admission_case_t request = {
+    .pressure = tree->pressure,
+    .cost = tree->cost,
+    .priority = exchange->priority,
+    .route_priority = exchange->route_priority,
+    .returned = exchange->returned,
+  };
+  if (request.pressure > 0 && admission_refuses (&request, draw (entry)))
     {
       finish (exchange, ENTRY_PRESSURE, 503);
       return false;
@@ -730,10 +859,10 @@
 /* A caller that comes back has less time left than callers of its route have
    at first, by at least the shortest pause that it is told.  */
 static bool
-has_returned (exchange_t *exchange, int number, int64_t timeout_us)
+has_returned (exchange_t *exchange, int64_t timeout_us)
 {
-  entry_point_t *entry = exchange->entry;
-  int64_t *longest_us = &entry->timeouts_us[number];
+  int64_t *longest_us
+      = &exchange->entry->routes[exchange->number].longest_timeout_us;
   if (timeout_us > *longest_us)
     *longest_us = timeout_us;
   return timeout_us > 0
@@ -754,16 +883,18 @@
     left_us = timeout_us;
   exchange->deadline_us = begun_us + left_us;
   exchange->target_us = route->target_us;
-  exchange->runs
-      = &entry->runs[XXH3_64bits (route->name, strlen (route->name))
-                     % ROUTE_RUNS];
+  exchange->edition = entry->edition;
+  exchange->number = number;
+  snprintf (exchange->route, sizeof exchange->route, "%s", route->name);
+  exchange->runs = &entry->runs[runs_slot (route->name)];
   exchange->idempotent = route->idempotent;
   exchange->priority = route->priority;
+  exchange->route_priority = route->priority;
   exchange->attempts_left = route->attempts - 1;
-  exchange->returned = has_returned (exchange, number, timeout_us);
+  exchange->returned = has_returned (exchange, timeout_us);
   uint32_t part = route->part_count == 1
                       ? 0
-                      : split_next (&entry->splits[number], route->parts,
+                      : split_next (&entry->routes[number].split, route->parts,
                                     route->part_count);
   snprintf (exchange->service, sizeof exchange->service, "%s",
             entry->policy->services[route->parts[part].service].name);
@@ -773,13 +904,13 @@
 count_first (exchange_t *exchange)
 {
   entry_point_t *entry = exchange->entry;
-  callee_count_t *counts = service_counts (entry, exchange->service);
-  retry_pool_earn (&counts->pool,
-                   fleet_is_leaf (entry->parts.fleet, exchange->service),
+  bool leaf = call_graph_is_leaf (entry->parts.graph, exchange->route,
+                                  entry->parts.loop->now_us);
+  retry_pool_earn (retry_pool (entry, exchange->service), leaf,
                    entry->parts.retry_reserve, entry->sidecars);
   if (!exchange->from_backend)
     return;
-  counts->count++;
+  call_learner_called (entry->parts.learner, exchange->route);
   entry->state.calls++;
 }
 
@@ -882,8 +1013,7 @@
 {
   if (entry == NULL)
     return;
-  free (entry->splits);
-  free (entry->timeouts_us);
+  free (entry->routes);
   free (entry);
 }
 
@@ -891,12 +1021,11 @@
 entry_set_policy (entry_point_t *entry, const policy_t *policy)
 {
   size_t count = policy != NULL ? policy->route_count + 1 : 1;
-  free (entry->splits);
-  free (entry->timeouts_us);
+  free (entry->routes);
   entry->policy = policy;
-  entry->splits = calloc (count, sizeof *entry->splits);
-  entry->timeouts_us = calloc (count, sizeof *entry->timeouts_us);
-  if (entry->splits == NULL || entry->timeouts_us == NULL)
+  entry->edition++;
+  entry->routes = calloc (count, sizeof *entry->routes);
+  if (entry->routes == NULL)
     abort ();
 }
 
@@ -918,10 +1047,8 @@
   return entry->state;
 }
 
-void
-entry_each_callee (const entry_point_t *entry, entry_visit_t visit, void *ctx)
+double
+entry_run_us (const entry_point_t *entry, const char *route)
 {
-  for (uint32_t i = 0; i < entry->service_count; i++)
-    if (entry->services[i].count > 0)
-      visit (ctx, entry->services[i].service, entry->services[i].count);
+  return entry->runs[runs_slot (route)].mean_us;
 }
--- a/src/edge/entry_point.h
+++ b/src/edge/entry_point.h
@@ -9,6 +9,8 @@
 #include "edge/http_server.h"
 #include "edge/peer.h"
 #include "edge/runner.h"
+#include "mesh/call_graph.h"
+#include "mesh/call_learner.h"
 #include "mesh/dialect.h"
 #include "mesh/fleet.h"
 #include "mesh/quota.h"
@@ -49,6 +51,8 @@
   const rng_t *rng;
   event_log_t *log;
   fleet_t *fleet;
+  call_graph_t *graph;
+  call_learner_t *learner;
   quota_t *quota;
   peer_set_t *peers;
   runner_t *runner;
@@ -79,12 +83,9 @@
   uint64_t latency_us[24]; /* count by power of two of microseconds */
 } entry_state_t;
 
-entry_state_t entry_state (const entry_point_t *entry);
+/* Mean time that runs of ROUTE take; 0 before the first.  */
+double entry_run_us (const entry_point_t *entry, const char *route);
 
-/* Calls that the backend server has made to each service.  */
-typedef void (*entry_visit_t) (void *ctx, const char *service,
-                               uint64_t count);
-void entry_each_callee (const entry_point_t *entry, entry_visit_t visit,
-                        void *ctx);
+entry_state_t entry_state (const entry_point_t *entry);
 
 #endif
--- a/src/edge/peer_stream.c
+++ b/src/edge/peer_stream.c
@@ -97,6 +97,7 @@
     .account = (char *)call->account,
     .caller = (char *)call->caller,
     .service = (char *)call->service,
+    .route = (char *)call->route,
     .incarnation = call->incarnation,
     .timeout_ms = left_ms (link->peers, call->deadline_us),
     .wait_ms = (uint32_t)(call->wait_us / US_PER_MS),
@@ -287,6 +288,7 @@
     .account = told->account,
     .caller = told->caller,
     .service = told->service,
+    .route = told->route,
     .incarnation = told->incarnation,
     .deadline_us
     = peers->loop->now_us + (int64_t)told->timeout_ms * US_PER_MS,
--- a/src/edge/runner.c
+++ b/src/edge/runner.c
@@ -45,6 +45,7 @@
   char attempt_id[ATTEMPT_ID_BYTES];
   char account[NAME_BYTES];
   char caller[NAME_BYTES];
+  char route[NAME_BYTES];
   char server_id[SERVER_ID_BYTES];
   bytes_t request; /* method, target and fields */
   bytes_t body;
@@ -64,6 +65,7 @@
   http_client_t *client;
   intake_t *intake;
   uint64_t incarnation;
+  call_learner_t *learner;
   runner_handler_t handler;
   char server_id[SERVER_ID_BYTES];
   run_t *attempts[BUCKETS];
@@ -456,6 +458,7 @@
   run->state = RUN_RUNNING;
   run->call = http_client_call (runner->client, &request, &handler);
   runner->state.started++;
+  call_learner_ran (runner->learner, run->route);
   bytes_free (&head);
 }
 
@@ -507,6 +510,7 @@
   snprintf (run->attempt_id, sizeof run->attempt_id, "%s", call->attempt_id);
   snprintf (run->account, sizeof run->account, "%s", call->account);
   snprintf (run->caller, sizeof run->caller, "%s", call->caller);
+  snprintf (run->route, sizeof run->route, "%s", call->route);
   snprintf (run->server_id, sizeof run->server_id, "%s", runner->server_id);
   write_request (run, call);
   run->entry = (intake_entry_t){
@@ -766,7 +770,8 @@
 
 runner_t *
 runner_new (loop_t *loop, const dialect_t *dialect, endpoint_addr_t server,
-            uint64_t incarnation, const runner_handler_t *handler)
+            uint64_t incarnation, call_learner_t *learner,
+            const runner_handler_t *handler)
 {
   runner_t *runner = calloc (1, sizeof *runner);
   if (runner == NULL)
@@ -776,6 +781,7 @@
   runner->loop = loop;
   runner->dialect = dialect;
   runner->incarnation = incarnation;
+  runner->learner = learner;
   runner->handler = *handler;
   runner->kept_last = &runner->kept_first;
   runner->client = http_client_new (loop, server, &options);
--- a/src/edge/runner.h
+++ b/src/edge/runner.h
@@ -7,6 +7,7 @@
 
 #include "edge/http_client.h"
 #include "mesh/call.h"
+#include "mesh/call_learner.h"
 #include "mesh/dialect.h"
 #include "mesh/intake.h"
 #include "mesh/server_view.h"
@@ -29,6 +30,7 @@
    earlier call can be answered.  */
 runner_t *runner_new (loop_t *loop, const dialect_t *dialect,
                       endpoint_addr_t server, uint64_t incarnation,
+                      call_learner_t *learner,
                       const runner_handler_t *handler);
 void runner_free (runner_t *runner);
 
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -21,7 +21,9 @@
   TICK_LEAST_US = 2 * US_PER_MS,
   REPORT_LIST_MAX = 128, /* services and accounts in one report */
   CENTI = 100,
-  RATIO_LEAST_RUNS = 20, /* before calls are counted against runs */
+  PERMILLE = 1000,
+  RATIO_REPORTS = 8, /* one in so many reports tells what calls what */
+  RATIO_LOGGED = 40, /* one in so many is logged with it */
   /* A caller's machine misses two readiness checks, a second apart, before
      it sends elsewhere.  */
   READY_NOTICE_US = 2300 * US_PER_MS,
@@ -50,6 +52,8 @@
   rng_t rng;
   uint64_t incarnation;
   fleet_t *fleet;
+  call_graph_t *graph;
+  call_learner_t *learner;
   quota_t *quota;
   runner_t *runner;
   serve_t serve;
@@ -73,6 +77,8 @@
   int64_t stop_us; /* when the stop began */
   int64_t load_logged_us;
   mesh_ratio ratios[REPORT_LIST_MAX];
+  uint32_t ratio_count;
+  uint32_t reports;
   mesh_demand demands[REPORT_LIST_MAX];
   uint32_t demand_count;
 };
@@ -113,22 +119,25 @@
   loop_defer (&sidecar->loop, &sidecar->beliefs);
 }
 
-typedef struct ratio_fill_t
+static void
+add_ratio (void *ctx, const char *caller, const char *callee, double ratio)
 {
-  sidecar_t *sidecar;
-  uint64_t runs;
-  uint32_t count;
-} ratio_fill_t;
+  sidecar_t *sidecar = ctx;
+  if (sidecar->ratio_count == REPORT_LIST_MAX)
+    return;
+  sidecar->ratios[sidecar->ratio_count++]
+      = (mesh_ratio){ (char *)caller, (char *)callee,
+                      (u_int)(ratio * PERMILLE),
+                      (u_int)entry_run_us (sidecar->entry, callee) };
+}
 
 static void
-add_ratio (void *ctx, const char *service, uint64_t count)
+take_ratio (sidecar_t *sidecar, const mesh_ratio *ratio)
 {
-  ratio_fill_t *fill = ctx;
-  if (fill->count == REPORT_LIST_MAX)
-    return;
-  fill->sidecar->ratios[fill->count++] = (mesh_ratio){
-    (char *)service, (u_int)(count * 1000 / fill->runs)
-  };
+  call_edge_t edge = { ratio->caller, ratio->callee,
+                       (double)ratio->permille / PERMILLE,
+                       ratio->callee_run_us };
+  call_graph_put (sidecar->graph, &edge, sidecar->loop.now_us);
 }
 
 static void
@@ -148,10 +157,6 @@
   sidecar_t *sidecar = ctx;
   fleet_server_t server;
   own_server (sidecar, &server);
-  ratio_fill_t fill
-      = { sidecar, runner_state (sidecar->runner).started, 0 };
-  if (fill.runs >= RATIO_LEAST_RUNS)
-    entry_each_callee (sidecar->entry, add_ratio, &fill);
   *report = (mesh_report){
     .incarnation = sidecar->incarnation,
     .config_version = operator_feed_version (sidecar->operators),
@@ -164,7 +169,7 @@
     .slots = server.slots,
     .load = { server.load.running, server.load.queued, server.load.window,
               server.load.pressure_permille },
-    .ratios = { fill.count, sidecar->ratios },
+    .ratios = { sidecar->ratio_count, sidecar->ratios },
     .demands = { sidecar->demand_count, sidecar->demands },
   };
 }
@@ -188,9 +193,7 @@
   };
   fleet_put (sidecar->fleet, &server, sidecar->loop.now_us);
   for (u_int i = 0; i < report->ratios.ratios_len; i++)
-    fleet_put_ratio (sidecar->fleet, report->service,
-                     report->ratios.ratios_val[i].service, server.vm,
-                     report->ratios.ratios_val[i].permille / 1000.0);
+    take_ratio (sidecar, &report->ratios.ratios_val[i]);
   for (u_int i = 0; i < report->demands.demands_len; i++)
     {
       const mesh_demand *demand = &report->demands.demands_val[i];
@@ -476,6 +479,27 @@
   loop_timer (&sidecar->loop, timer, due_us < TICK_US ? due_us : TICK_US);
 }
 
+/* What calls what changes slowly, so only some reports carry it.  */
+static void
+tell_ratios (sidecar_t *sidecar)
+{
+  call_learner_tick (sidecar->learner, sidecar->loop.now_us);
+  sidecar->ratio_count = 0;
+  sidecar->reports++;
+  if (sidecar->reports % RATIO_REPORTS != 0)
+    return;
+  call_learner_each (sidecar->learner, add_ratio, sidecar);
+  for (uint32_t i = 0; i < sidecar->ratio_count; i++)
+    {
+      const mesh_ratio *ratio = &sidecar->ratios[i];
+      take_ratio (sidecar, ratio);
+      if (sidecar->reports % RATIO_LOGGED == 0)
+        event_log (&sidecar->log, EVENT_BELIEF, "calls-learnt",
+                   "caller=%s callee=%s permille=%u", ratio->caller,
+                   ratio->callee, ratio->permille);
+    }
+}
+
 static void
 on_report_due (struct ev_loop *ev, ev_timer *timer, int events)
 {
@@ -485,6 +509,7 @@
   (void)events;
   own_server (sidecar, &server);
   fleet_put (sidecar->fleet, &server, sidecar->loop.now_us);
+  tell_ratios (sidecar);
   sidecar->demand_count = 0;
   quota_tick (sidecar->quota, sidecar->loop.now_us, rng_unit (&sidecar->rng),
               add_demand, sidecar);
@@ -599,8 +624,11 @@
 
   sidecar->fleet = fleet_new (settings->zone, &sidecar->rng, loop->now_us);
   sidecar->quota = quota_new ();
-  sidecar->runner = runner_new (loop, dialect, settings->backend,
-                                sidecar->incarnation, &runner);
+  sidecar->graph = call_graph_new ();
+  sidecar->learner = call_learner_new ();
+  sidecar->runner
+      = runner_new (loop, dialect, settings->backend, sidecar->incarnation,
+                    sidecar->learner, &runner);
   sidecar->serve = (serve_t){ sidecar->runner, settings->service };
   sidecar->watch
       = backend_watch_new (loop, dialect, sidecar->runner, settings->service,
@@ -614,6 +642,8 @@
     .rng = &sidecar->rng,
     .log = &sidecar->log,
     .fleet = sidecar->fleet,
+    .graph = sidecar->graph,
+    .learner = sidecar->learner,
     .quota = sidecar->quota,
     .peers = sidecar->peers,
     .runner = sidecar->runner,
@@ -699,6 +729,8 @@
   backend_watch_free (sidecar->watch);
   runner_free (sidecar->runner);
   quota_free (sidecar->quota);
+  call_learner_free (sidecar->learner);
+  call_graph_free (sidecar->graph);
   fleet_free (sidecar->fleet);
   event_log_close (&sidecar->log);
   loop_close (&sidecar->loop);
--- a/src/mesh/admission.c
+++ b/src/mesh/admission.c
@@ -4,8 +4,14 @@
 
 #include "clock.h"
 
-/* Pressure up to which only priorities below the first are refused.  */
-static const double FIRST_PRIORITY_FROM = 0.75;
+/* Bounds on how far cost counts: no kind of request is shut out.  */
+static const double COST_LEAST = 0.25;
+static const double COST_MOST = 1.5;
+/* Part of all requests that the first priority is taken to be; while that
+   much is admitted, none of it is refused.  */
+static const double FIRST_SHARE = 0.25;
+/* Of the admitted share, what the less important keep in any case.  */
+static const double LAST_SHARE = 0.5;
 /* A caller waits at most this part of its remaining time.  */
 static const double RETRY_SHARE_OF_LEFT = 1.0 / 3;
 static const double RETRY_SHARE_OF_TARGET = 0.6;
@@ -19,13 +25,17 @@
 };
 
 bool
-admission_refuses (double pressure, uint8_t priority, bool returned,
-                   double draw)
+admission_refuses (const admission_case_t *request, double draw)
 {
-  double share = pressure / FIRST_PRIORITY_FROM;
-  if (priority == 0 || returned)
-    share = (pressure - FIRST_PRIORITY_FROM) / (1 - FIRST_PRIORITY_FROM);
-  return draw < share;
+  double cost = fmin (COST_MOST, fmax (COST_LEAST, request->cost));
+  double admitted = fmin (1, (1 - request->pressure) / cost);
+  bool first = request->priority == 0 || request->route_priority == 0
+               || request->returned;
+  double share = fmin (1, admitted / FIRST_SHARE);
+  if (!first)
+    share = fmax (admitted * LAST_SHARE,
+                  (admitted - FIRST_SHARE) / (1 - FIRST_SHARE));
+  return draw >= share;
 }
 
 uint32_t
--- a/src/mesh/admission.h
+++ b/src/mesh/admission.h
@@ -6,13 +6,23 @@
 
 #include "types.h"
 
-/* Whether to refuse a request of PRIORITY while a share PRESSURE of them has
-   to be refused.  The less important go first; the first priority is touched
-   only when refusing all others is not enough.  So do callers who were
-   refused before and came back when they were told to: a second refusal would
-   make their wait worthless.  */
-bool admission_refuses (double pressure, uint8_t priority, bool returned,
-                        double draw);
+/* What decides on a caller's request while a service that it leads to is
+   overloaded.  */
+typedef struct admission_case_t
+{
+  double pressure;        /* share of all requests that has to be refused */
+  double cost;            /* to that service, 1 for the mean request */
+  uint8_t priority;       /* by its client account, else by its route */
+  uint8_t route_priority; /* decides between requests of one account */
+  bool returned; /* was refused before and came back when it was told to */
+} admission_case_t;
+
+/* Whether to refuse.  Cheap requests are refused less than dear ones, so that
+   more callers are served by the same servers.  The less important go first, but never all of them, so
+   that no client account is shut out; the first priority follows when that is
+   not enough.  A caller that came back as told counts with the first: a second
+   refusal would make its wait worthless.  */
+bool admission_refuses (const admission_case_t *request, double draw);
 
 /* When a refused caller may come back, in milliseconds.  Returns are spread,
    so that they do not come as one wave, over the time in which an answer is
--- a/src/mesh/call.h
+++ b/src/mesh/call.h
@@ -24,6 +24,7 @@
   const char *account;  /* client account, or "" */
   const char *caller;   /* service of the VM where the request began */
   const char *service;  /* that is to run it */
+  const char *route;
   uint64_t incarnation; /* of the daemon that may run it; 0 is any */
   int64_t deadline_us;
   int64_t wait_us;     /* longest time in the queue */
--- a/src/mesh/fleet.c
+++ b/src/mesh/fleet.c
@@ -10,28 +10,15 @@
 enum
 {
   ZONES_MAX = CHOOSE_ZONES_MAX,
-  CALLEES_MAX = 16,   /* services that one service calls */
-  DEPTH_MAX = 8,      /* of a tree of calls */
   PRESSURE_FRESH_US = 2 * US_PER_S, /* older reports do not count */
   PRESSURE_CACHE_US = 50 * US_PER_MS
 };
 
-static const double RATIO_LEAST = 0.02;      /* rarer calls do not count */
-static const double RATIO_WEIGHT = 1.0 / 16; /* of one report */
-
-typedef struct callee_t
-{
-  char service[NAME_BYTES];
-  double ratio;
-} callee_t;
-
 typedef struct service_t
 {
   char name[NAME_BYTES];
   choose_t *choose;
-  callee_t callees[CALLEES_MAX];
-  uint32_t callee_count;
-  double pressure; /* of the tree, cached */
+  double pressure; /* cached */
   int64_t pressure_us;
 } service_t;
 
@@ -262,39 +249,6 @@
   return count;
 }
 
-/* VM is one of several sidecars that see a part of CALLER's calls each.  */
-void
-fleet_put_ratio (fleet_t *fleet, const char *caller, const char *callee,
-                 vm_id_t vm, double ratio)
-{
-  service_t *service = service_find_or_add (fleet, caller);
-  (void)vm;
-  for (uint32_t i = 0; i < service->callee_count; i++)
-    if (strcmp (service->callees[i].service, callee) == 0)
-      {
-        double *known = &service->callees[i].ratio;
-        *known += (ratio - *known) * RATIO_WEIGHT;
-        return;
-      }
-  if (service->callee_count == CALLEES_MAX)
-    return;
-  callee_t *added = &service->callees[service->callee_count++];
-  snprintf (added->service, sizeof added->service, "%s", callee);
-  added->ratio = ratio;
-}
-
-bool
-fleet_is_leaf (const fleet_t *fleet, const char *name)
-{
-  const service_t *service = service_find (fleet, name);
-  if (service == NULL)
-    return true;
-  for (uint32_t i = 0; i < service->callee_count; i++)
-    if (service->callees[i].ratio > RATIO_LEAST)
-      return false;
-  return true;
-}
-
 /* Mean over the servers of one service, by their slots.  */
 static double
 own_pressure (const fleet_t *fleet, const char *name, int64_t now_us)
@@ -313,21 +267,6 @@
   return slots > 0 ? sum / slots : 0;
 }
 
-static double
-tree_pressure (const fleet_t *fleet, const char *name, int depth,
-               int64_t now_us)
-{
-  double most = own_pressure (fleet, name, now_us);
-  const service_t *service = service_find (fleet, name);
-  if (service == NULL || depth == DEPTH_MAX)
-    return most;
-  for (uint32_t i = 0; i < service->callee_count; i++)
-    if (service->callees[i].ratio > RATIO_LEAST)
-      most = fmax (most, tree_pressure (fleet, service->callees[i].service,
-                                        depth + 1, now_us));
-  return most;
-}
-
 double
 fleet_pressure (fleet_t *fleet, const char *name, int64_t now_us)
 {
@@ -335,7 +274,7 @@
   if (service->pressure_us == 0
       || now_us - service->pressure_us > PRESSURE_CACHE_US)
     {
-      service->pressure = tree_pressure (fleet, name, 0, now_us);
+      service->pressure = own_pressure (fleet, name, now_us);
       service->pressure_us = now_us;
     }
   return service->pressure;
--- a/src/mesh/fleet.h
+++ b/src/mesh/fleet.h
@@ -1,11 +1,10 @@
 #ifndef REDWINGFORD_FLEET_H
 #define REDWINGFORD_FLEET_H
 
-/* What a sidecar knows of the others: which backend server each stands beside,
-   how loaded that is, and which services call on to which.  From it follow
-   where a request is sent (choose.h) and what share of callers' requests is
-   refused at the entry because a service further down is overloaded.  No
-   locks; the caller passes the time.  */
+/* What a sidecar knows of the others: which backend server each stands beside
+   and how loaded that is.  From it follow where a request is sent (choose.h)
+   and how hard each service presses.  No locks; the caller passes the time.
+ */
 
 #include "choose.h"
 #include "mesh/call.h"
@@ -47,16 +46,8 @@
 /* Servers of SERVICE that accept requests.  */
 uint32_t fleet_accepting (const fleet_t *fleet, const char *service);
 
-/* CALLER makes RATIO calls to CALLEE for each of its own runs, as VM sees
-   it.  */
-void fleet_put_ratio (fleet_t *fleet, const char *caller, const char *callee,
-                      vm_id_t vm, double ratio);
-
-/* Whether SERVICE is not known to call any other.  */
-bool fleet_is_leaf (const fleet_t *fleet, const char *service);
-
-/* Share of the callers' requests for SERVICE that should be refused now, by
-   the most loaded service that its work leads to.  */
+/* Share of the callers' work for SERVICE that should be refused where it
+   begins, by what its backend servers tell.  */
 double fleet_pressure (fleet_t *fleet, const char *service, int64_t now_us);
 
 #endif
--- a/src/mesh/intake.c
+++ b/src/mesh/intake.c
@@ -11,33 +11,41 @@
   QUEUE_CAPACITY = 2048, /* entries; bounds memory, waits are bounded first */
   PRESSURE_PERIOD_US = 100 * US_PER_MS, /* between two steps of pressure */
   WAIT_AIM_US = 40 * US_PER_MS, /* of calls, while the server is loaded */
+  CALLERS_MEMORY_US = 5 * US_PER_S, /* without one, none of their slots is
+                                       kept free */
   COLD_BURST = 4 /* requests at once after a quiet time on a cold server */
 };
 
 /* Servers slow down when nearly all slots are taken; health checks take one.
  */
 static const double WINDOW_SHARE = 0.95;
+/* Slots that calls of other servers leave free: runs that wait for a server
+   further down would otherwise hold all of them.  */
+static const double CALLERS_SHARE = 0.1;
 static const double RUN_WEIGHT = 1.0 / 32; /* of one run in the mean */
-/* Steps of the pressure's integral control.  A change shows after the time
-   that a tree of calls takes, about a second.  */
-static const double PRESSURE_UP = 0.04;
-static const double PRESSURE_DOWN = 0.02;
-static const double PRESSURE_MAX = 0.95;  /* some always pass, to sense */
+/* Steps of the admitted share, as parts of itself.  A change shows after the
+   time that a tree of calls takes, about a second; larger steps than about a
+   half in that time swing back and forth.  */
+static const double ADMIT_DOWN = 0.06;
+static const double ADMIT_UP = 0.03;
+static const double ADMIT_LEAST = 0.005; /* some always pass, to sense */
 static const double COLD_RATE_SHARE = 1.1; /* of the rate that is borne */
 
 struct intake_t
 {
   intake_actions_t actions;
   intake_server_t server;
-  queue_t *queue;
+  queue_t *calls; /* of backend servers */
+  queue_t *callers;
+  int64_t callers_us; /* when the last request of a caller came */
   uint32_t running;
-  uint32_t queued_calls; /* of the queue, from backend servers */
-  int64_t queued_us;     /* work that is queued */
-  int64_t queued_calls_us;
+  uint32_t running_calls;
+  int64_t calls_work_us; /* that is queued */
+  int64_t callers_work_us;
   double run_us;
   double cold_tokens;
   int64_t cold_us; /* when cold_tokens were last counted */
-  double pressure;
+  double admitted; /* share of the callers' requests */
   int64_t pressure_us;
   uint32_t calls_refused; /* since the last step of pressure */
 };
@@ -50,7 +58,9 @@
   if (intake == NULL)
     abort ();
   intake->actions = *actions;
-  intake->queue = queue_new (&options);
+  intake->calls = queue_new (&options);
+  intake->callers = queue_new (&options);
+  intake->admitted = 1;
   intake->pressure_us = now_us;
   intake->cold_us = now_us;
   return intake;
@@ -61,7 +71,8 @@
 {
   if (intake == NULL)
     return;
-  queue_free (intake->queue);
+  queue_free (intake->calls);
+  queue_free (intake->callers);
   free (intake);
 }
 
@@ -99,6 +110,19 @@
   return !intake_is_cold (intake, now_us) || intake->cold_tokens >= 1;
 }
 
+/* Whether one more of this kind may start now.  */
+static bool
+may_start (intake_t *intake, bool from_backend, int64_t now_us)
+{
+  if (!has_room (intake, now_us))
+    return false;
+  bool shared = intake->callers_us > 0
+                && now_us - intake->callers_us < CALLERS_MEMORY_US;
+  uint32_t kept
+      = shared ? (uint32_t)ceil (window (intake) * CALLERS_SHARE) : 0;
+  return !from_backend || intake->running_calls + kept < window (intake);
+}
+
 static void
 start (intake_t *intake, intake_entry_t *entry, int64_t now_us)
 {
@@ -107,6 +131,7 @@
   entry->running = true;
   entry->started_us = now_us;
   intake->running++;
+  intake->running_calls += entry->from_backend;
   INVARIANT (intake->running <= intake->server.slots,
              "%u run on %u slots", intake->running, intake->server.slots);
 }
@@ -117,14 +142,25 @@
   return (intake_entry_t *)((char *)entry - offsetof (intake_entry_t, entry));
 }
 
+static queue_t *
+queue_of (const intake_t *intake, const intake_entry_t *entry)
+{
+  return entry->from_backend ? intake->calls : intake->callers;
+}
+
+static uint32_t
+queued (const intake_t *intake)
+{
+  return queue_count (intake->calls) + queue_count (intake->callers);
+}
+
 static void
-count_queued (intake_t *intake, const intake_entry_t *entry, int sign)
+count_work (intake_t *intake, const intake_entry_t *entry, int sign)
 {
-  intake->queued_us += sign * entry->expected_us;
-  if (!entry->from_backend)
-    return;
-  intake->queued_calls += (uint32_t)sign;
-  intake->queued_calls_us += sign * entry->expected_us;
+  if (entry->from_backend)
+    intake->calls_work_us += sign * entry->expected_us;
+  else
+    intake->callers_work_us += sign * entry->expected_us;
 }
 
 static intake_entry_t *
@@ -133,7 +169,7 @@
   if (entry == NULL)
     return NULL;
   intake_entry_t *found = from_queue (entry);
-  count_queued (intake, found, -1);
+  count_work (intake, found, -1);
   return found;
 }
 
@@ -150,10 +186,11 @@
 static int64_t
 wait_us (const intake_t *intake, bool from_backend, int64_t now_us)
 {
-  uint32_t ahead = from_backend ? intake->queued_calls
-                                : queue_count (intake->queue);
-  double ahead_us = (double)(from_backend ? intake->queued_calls_us
-                                          : intake->queued_us);
+  uint32_t ahead
+      = from_backend ? queue_count (intake->calls) : queued (intake);
+  double ahead_us = (double)intake->calls_work_us;
+  if (!from_backend)
+    ahead_us += (double)intake->callers_work_us;
   if (intake_is_cold (intake, now_us))
     return (int64_t)((ahead + 1) * US_PER_S / intake->server.cold_per_s);
   if (ahead == 0 && intake->running < window (intake))
@@ -177,15 +214,11 @@
 }
 
 static void
-refuse_all (intake_t *intake, cause_t cause)
+refuse_all (intake_t *intake, queue_t *queue, cause_t cause)
 {
-  for (;;)
-    {
-      queue_entry_t *next = queue_pop (intake->queue, 0);
-      if (next == NULL)
-        return;
-      refuse (intake, dequeued (intake, next), cause);
-    }
+  queue_entry_t *next;
+  while ((next = queue_pop (queue, 0)) != NULL)
+    refuse (intake, dequeued (intake, next), cause);
 }
 
 void
@@ -202,8 +235,10 @@
       intake->cold_tokens = 0;
       intake->cold_us = now_us;
     }
-  if (is_shut (intake, &cause))
-    refuse_all (intake, cause);
+  if (!is_shut (intake, &cause))
+    return;
+  refuse_all (intake, intake->calls, cause);
+  refuse_all (intake, intake->callers, cause);
 }
 
 /* Longest useful wait: the run itself must still fit.  */
@@ -227,9 +262,10 @@
     }
   if (entry->expected_us == 0)
     entry->expected_us = (int64_t)intake->run_us;
-  uint32_t ahead = entry->from_backend ? intake->queued_calls
-                                       : queue_count (intake->queue);
-  if (ahead == 0 && has_room (intake, now_us))
+  if (!entry->from_backend)
+    intake->callers_us = now_us;
+  if (queue_count (queue_of (intake, entry)) == 0
+      && may_start (intake, entry->from_backend, now_us))
     {
       start (intake, entry, now_us);
       return INTAKE_START;
@@ -250,9 +286,10 @@
     .work_sunk = entry->from_backend,
     .expire_us = now_us + bound_us,
   };
-  count_queued (intake, entry, 1);
+  count_work (intake, entry, 1);
   queue_entry_t *evicted
-      = queue_push (intake->queue, &entry->entry, bound_us, now_us);
+      = queue_push (queue_of (intake, entry), &entry->entry, bound_us,
+                    now_us);
   if (evicted == &entry->entry)
     {
       dequeued (intake, evicted);
@@ -264,16 +301,24 @@
   return INTAKE_QUEUED;
 }
 
+static bool
+start_next (intake_t *intake, queue_t *queue, bool from_backend,
+            int64_t now_us)
+{
+  if (queue_count (queue) == 0 || !may_start (intake, from_backend, now_us))
+    return false;
+  intake_entry_t *entry = dequeued (intake, queue_pop (queue, now_us));
+  start (intake, entry, now_us);
+  intake->actions.start (intake->actions.ctx, entry);
+  return true;
+}
+
 static void
 start_waiting (intake_t *intake, int64_t now_us)
 {
-  while (queue_count (intake->queue) > 0 && has_room (intake, now_us))
-    {
-      intake_entry_t *entry
-          = dequeued (intake, queue_pop (intake->queue, now_us));
-      start (intake, entry, now_us);
-      intake->actions.start (intake->actions.ctx, entry);
-    }
+  while (start_next (intake, intake->calls, true, now_us)
+         || start_next (intake, intake->callers, false, now_us))
+    ;
 }
 
 void
@@ -283,6 +328,7 @@
   INVARIANT (entry->running, "an entry that does not run has finished");
   entry->running = false;
   intake->running--;
+  intake->running_calls -= entry->from_backend;
   double run_us = (double)(now_us - entry->started_us);
   if (ran && intake->run_us <= 0)
     intake->run_us = run_us;
@@ -294,12 +340,13 @@
 void
 intake_withdraw (intake_t *intake, intake_entry_t *entry)
 {
-  queue_remove (intake->queue, &entry->entry);
+  queue_remove (queue_of (intake, entry), &entry->entry);
   dequeued (intake, &entry->entry);
 }
 
-/* Integral control: calls that wait longer than is aimed at raise the share
-   that callers' entry points refuse, shorter waits lower it.  */
+/* Calls that wait longer than is aimed at lower the share of callers'
+   requests that is admitted at their entry points, shorter waits raise it.
+   By factors, so that any surplus of demand is met equally fast.  */
 static void
 step_pressure (intake_t *intake)
 {
@@ -310,31 +357,48 @@
   intake->calls_refused = 0;
   if (!intake->server.known)
     excess = -1;
-  intake->pressure
-      += excess * (excess > 0 ? PRESSURE_UP : PRESSURE_DOWN);
-  intake->pressure = fmin (PRESSURE_MAX, fmax (0, intake->pressure));
+  intake->admitted *= 1 - excess * (excess > 0 ? ADMIT_DOWN : ADMIT_UP);
+  intake->admitted = fmin (1, fmax (ADMIT_LEAST, intake->admitted));
+}
+
+static void
+refuse_expired (intake_t *intake, queue_t *queue, int64_t now_us)
+{
+  queue_entry_t *expired;
+  while ((expired = queue_expired (queue, now_us)) != NULL)
+    refuse (intake, dequeued (intake, expired), CAUSE_WAIT_TOO_LONG);
+}
+
+/* When a cold server bears the next request.  */
+static int64_t
+next_token_us (const intake_t *intake, int64_t now_us)
+{
+  if (queued (intake) == 0 || !intake_is_cold (intake, now_us)
+      || intake->running >= window (intake))
+    return INT64_MAX;
+  double rate = intake->server.cold_per_s * COLD_RATE_SHARE;
+  double missing = fmax (0, 1 - intake->cold_tokens);
+  return now_us + (int64_t)(missing * US_PER_S / rate) + 1;
+}
+
+static int64_t
+earlier (int64_t a, int64_t b)
+{
+  return a < b ? a : b;
 }
 
 int64_t
 intake_tick (intake_t *intake, int64_t now_us)
 {
-  queue_entry_t *expired;
   start_waiting (intake, now_us);
-  while ((expired = queue_expired (intake->queue, now_us)) != NULL)
-    refuse (intake, dequeued (intake, expired), CAUSE_WAIT_TOO_LONG);
+  refuse_expired (intake, intake->calls, now_us);
+  refuse_expired (intake, intake->callers, now_us);
   for (; now_us - intake->pressure_us >= PRESSURE_PERIOD_US;
        intake->pressure_us += PRESSURE_PERIOD_US)
     step_pressure (intake);
-  int64_t next_us = queue_next_expiry_us (intake->queue);
-  if (queue_count (intake->queue) > 0 && intake_is_cold (intake, now_us)
-      && intake->running < window (intake))
-    {
-      double rate = intake->server.cold_per_s * COLD_RATE_SHARE;
-      double missing = fmax (0, 1 - intake->cold_tokens);
-      int64_t token_us = now_us + (int64_t)(missing * US_PER_S / rate) + 1;
-      next_us = token_us < next_us ? token_us : next_us;
-    }
-  return next_us;
+  return earlier (next_token_us (intake, now_us),
+                  earlier (queue_next_expiry_us (intake->calls),
+                           queue_next_expiry_us (intake->callers)));
 }
 
 server_load_t
@@ -342,9 +406,9 @@
 {
   return (server_load_t){
     .running = intake->running,
-    .queued = queue_count (intake->queue),
+    .queued = queued (intake),
     .window = window (intake),
-    .pressure_permille = (uint32_t)(intake->pressure * 1000),
+    .pressure_permille = (uint32_t)((1 - intake->admitted) * 1000),
   };
 }
 
--- a/src/mesh/mesh_proto.h
+++ b/src/mesh/mesh_proto.h
@@ -46,8 +46,10 @@
 typedef struct mesh_load mesh_load;
 
 struct mesh_ratio {
-	mesh_name service;
+	mesh_name caller;
+	mesh_name callee;
 	u_int permille;
+	u_int callee_run_us;
 };
 typedef struct mesh_ratio mesh_ratio;
 
@@ -93,6 +95,7 @@
 	mesh_name account;
 	mesh_name caller;
 	mesh_name service;
+	mesh_name route;
 	u_quad_t incarnation;
 	u_int timeout_ms;
 	u_int wait_ms;
--- a/src/mesh/mesh_proto.x
+++ b/src/mesh/mesh_proto.x
@@ -32,8 +32,10 @@
 
 struct mesh_ratio
 {
-  mesh_name service;
+  mesh_name caller;
+  mesh_name callee;
   unsigned int permille;
+  unsigned int callee_run_us;
 };
 
 struct mesh_demand
@@ -70,6 +72,7 @@
   mesh_name account;
   mesh_name caller;
   mesh_name service;
+  mesh_name route;
   unsigned hyper incarnation;
   unsigned int timeout_ms;
   unsigned int wait_ms;
--- a/src/mesh/mesh_proto_xdr.c
+++ b/src/mesh/mesh_proto_xdr.c
@@ -85,10 +85,14 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_mesh_name (xdrs, &objp->service))
+	 if (!xdr_mesh_name (xdrs, &objp->caller))
+		 return FALSE;
+	 if (!xdr_mesh_name (xdrs, &objp->callee))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->permille))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->callee_run_us))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -244,6 +248,8 @@
 			 return FALSE;
 		 if (!xdr_mesh_name (xdrs, &objp->service))
 			 return FALSE;
+		 if (!xdr_mesh_name (xdrs, &objp->route))
+			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
@@ -289,6 +295,8 @@
 			 return FALSE;
 		 if (!xdr_mesh_name (xdrs, &objp->service))
 			 return FALSE;
+		 if (!xdr_mesh_name (xdrs, &objp->route))
+			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
@@ -335,6 +343,8 @@
 		 return FALSE;
 	 if (!xdr_mesh_name (xdrs, &objp->service))
 		 return FALSE;
+	 if (!xdr_mesh_name (xdrs, &objp->route))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->timeout_ms))
--- a/src/mesh/policy.c
+++ b/src/mesh/policy.c
@@ -11,6 +11,7 @@
   name_table_t *hosts; /* to the first route of a host */
   name_table_t *keys;
   name_table_t *services;
+  name_table_t *routes;
 } policy_index_t;
 
 /* By host, then the longest prefix first.  */
@@ -36,12 +37,14 @@
     qsort (policy->routes, policy->route_count, sizeof *policy->routes,
            compare_routes);
   index->hosts = name_table_new (policy->route_count + 1);
+  index->routes = name_table_new (policy->route_count + 1);
   for (size_t i = 0; i < policy->route_count; i++)
     {
       if (policy->routes[i].part_count == 0)
         return error_set (error, ERROR_DOCUMENT, policy->routes[i].name,
                           "the route leads to no service; name one");
       name_table_add (index->hosts, policy->routes[i].host, (uint32_t)i);
+      name_table_add (index->routes, policy->routes[i].name, (uint32_t)i);
     }
   return true;
 }
@@ -95,6 +98,7 @@
       table_free (index->hosts);
       table_free (index->keys);
       table_free (index->services);
+      table_free (index->routes);
       free (index);
     }
   free (policy->services);
@@ -141,6 +145,13 @@
   return (int)name_table_find (index->keys, key, size);
 }
 
+int
+policy_route_named (const policy_t *policy, const char *name)
+{
+  const policy_index_t *index = policy->index;
+  return (int)name_table_find (index->routes, name, strlen (name));
+}
+
 int
 policy_service (const policy_t *policy, const char *name)
 {
--- a/src/mesh/policy.h
+++ b/src/mesh/policy.h
@@ -94,6 +94,9 @@
 /* Index of the key's client account, or -1.  */
 int policy_account (const policy_t *policy, const char *key, size_t size);
 
+/* Index of the route of that name, or -1.  */
+int policy_route_named (const policy_t *policy, const char *name);
+
 /* Index of a service, or -1.  */
 int policy_service (const policy_t *policy, const char *name);
 
