Admit callers by power of cost over weight; learn calls around the average

Cause: what presses on a request was told by service, so payments, which call nothing, were refused with the ledger runs beside them; forward selection laid whole trees to rare routes after restarts (cost 6 to 20 times the mean, .3 true); bookings were refused as often as reads. Change: least squares with the server's average as prior; the admitted share to the power of cost over weight (client account, route, a caller that returns).

--- a/src/edge/entry_point.c
+++ b/src/edge/entry_point.c
@@ -29,7 +29,8 @@
   split_t split;
   int64_t longest_timeout_us; /* that callers have told */
   int64_t pressure_us;        /* when the rest was added up */
-  double pressure; /* of the most pressed service that its runs lead to */
+  const char *pressed; /* the most pressed service that its runs lead to */
+  double pressure;
   double cost;     /* of a run there, as a part of the mean request's */
   double cost_us;
   double *mean_us; /* what a request costs that service, on average */
@@ -81,6 +82,9 @@
   char attempt_id[ATTEMPT_ID_BYTES];
   char service[NAME_BYTES]; /* that is to run it */
   char route[NAME_BYTES];
+  const char *pressed; /* the most pressed service that it leads to */
+  double pressure;     /* there */
+  double cost;         /* of this request there */
   uint64_t edition; /* of the policy that it was admitted by */
   int number;       /* of its route there */
   char account[NAME_BYTES];
@@ -213,6 +217,7 @@
   for (uint32_t i = 1; i < walk.count; i++)
     if (walk.costs[i].pressure > most->pressure)
       most = &walk.costs[i];
+  state->pressed = most->service;
   state->pressure = most->pressure;
   state->pressure_us = now_us;
   double *mean_us = &service_state (entry, most->service)->cost_us;
@@ -286,7 +291,8 @@
   event_log (entry->parts.log, EVENT_REQUEST, "request-end",
              "id=%s end=%s service=%s account=%s priority=%u call=%d "
              "cause=%s vm=%llx places=%u age-ms=%lld left-ms=%lld "
-             "config=%llu",
+             "config=%llu route=%s returned=%d pressed=%s pressure=%.3f "
+             "cost=%.2f",
              exchange->attempt_id, end_names[end], exchange->service,
              exchange->account, exchange->priority, exchange->from_backend,
              exchange->cause < CAUSE_COUNT ? cause_name (exchange->cause)
@@ -297,7 +303,10 @@
              (long long)((exchange->deadline_us - loop->now_us) / US_PER_MS),
              (unsigned long long)(entry->policy != NULL
                                       ? entry->policy->version
-                                      : 0));
+                                      : 0),
+             exchange->route, exchange->returned,
+             exchange->pressed != NULL ? exchange->pressed : "none",
+             exchange->pressure, exchange->cost);
 }
 
 static double
@@ -841,6 +850,9 @@
   const route_state_t *tree = tree_state (exchange);
   if (tree->cost_us > 0)
     *tree->mean_us += (tree->cost_us - *tree->mean_us) * COST_WEIGHT;
+  exchange->pressed = tree->pressed;
+  exchange->pressure = tree->pressure;
+  exchange->cost = tree->cost;
   admission_case_t request = {
     .pressure = tree->pressure,
     .cost = tree->cost,
--- a/src/mesh/admission.c
+++ b/src/mesh/admission.c
@@ -5,13 +5,13 @@
 #include "clock.h"
 
 /* Bounds on how far cost counts: no kind of request is shut out.  */
-static const double COST_LEAST = 0.25;
+static const double COST_LEAST = 0.4;
 static const double COST_MOST = 1.5;
-/* Part of all requests that the first priority is taken to be; while that
-   much is admitted, none of it is refused.  */
-static const double FIRST_SHARE = 0.25;
-/* Of the admitted share, what the less important keep in any case.  */
-static const double LAST_SHARE = 0.5;
+/* The admitted share is raised to the power of cost over weight, which leaves
+   all alike while nothing has to be refused.  */
+static const double FIRST_PRIORITY_WEIGHT = 2; /* of the client account's */
+static const double FIRST_ROUTE_WEIGHT = 2;
+static const double RETURNED_WEIGHT = 1.5;
 /* A caller waits at most this part of its remaining time.  */
 static const double RETRY_SHARE_OF_LEFT = 1.0 / 3;
 static const double RETRY_SHARE_OF_TARGET = 0.6;
@@ -28,14 +28,14 @@
 admission_refuses (const admission_case_t *request, double draw)
 {
   double cost = fmin (COST_MOST, fmax (COST_LEAST, request->cost));
-  double admitted = fmin (1, (1 - request->pressure) / cost);
-  bool first = request->priority == 0 || request->route_priority == 0
-               || request->returned;
-  double share = fmin (1, admitted / FIRST_SHARE);
-  if (!first)
-    share = fmax (admitted * LAST_SHARE,
-                  (admitted - FIRST_SHARE) / (1 - FIRST_SHARE));
-  return draw >= share;
+  double weight = 1;
+  if (request->priority == 0)
+    weight *= FIRST_PRIORITY_WEIGHT;
+  if (request->route_priority == 0)
+    weight *= FIRST_ROUTE_WEIGHT;
+  if (request->returned)
+    weight *= RETURNED_WEIGHT;
+  return draw >= pow (1 - request->pressure, cost / weight);
 }
 
 uint32_t
--- a/src/mesh/call_learner.c
+++ b/src/mesh/call_learner.c
@@ -12,14 +12,13 @@
 {
   N = LEARNER_ROUTES_MAX,
   PERIOD_US = US_PER_S, /* longer than most runs */
-  PERIODS_LEAST = 3,    /* before anything is told */
-  CALLERS_MAX = 4       /* routes that share one callee at one server */
+  PERIODS_LEAST = 2     /* before anything is told */
 };
 
 /* Memory of about half a minute.  */
 static const double FORGETTING = 0.97;
-/* Part of the unexplained squares that a further route must explain.  */
-static const double GAIN_LEAST = 0.25;
+/* Squared runs that it takes to move a route halfway from the average.  */
+static const double PRIOR = 30;
 /* Ratios below are noise, not calls.  */
 static const double RATIO_LEAST = 0.2;
 
@@ -37,7 +36,6 @@
   double called[N];
   double xx[N][N];    /* runs by runs */
   double xy[N][N];    /* calls by runs: [callee][route] */
-  double yy[N];       /* calls by calls */
   double ratio[N][N]; /* [callee][route] */
   int64_t period_us;  /* when this period began */
   uint32_t periods;
@@ -88,90 +86,54 @@
     learner->called[i]++;
 }
 
-/* The routes that one callee's calls are laid to.  */
-typedef struct fit_t
+/* Calls of callee C for each run of any route.  */
+static double
+average_ratio (const call_learner_t *learner, uint32_t c)
 {
-  uint32_t routes[CALLERS_MAX];
-  double ratios[CALLERS_MAX];
-  uint32_t count;
-  double left; /* squares that are not explained */
-} fit_t;
+  double calls = 0;
+  double runs = 0;
+  for (uint32_t i = 0; i < learner->routes.count; i++)
+    {
+      calls += learner->xy[c][i];
+      for (uint32_t j = 0; j < learner->routes.count; j++)
+        runs += learner->xx[i][j];
+    }
+  return runs > 0 ? calls / runs : 0;
+}
 
-/* Least squares of callee C over FIT's routes.  False when they do not tell
-   enough.  */
-static bool
-fit_solve (const call_learner_t *learner, uint32_t c, fit_t *fit)
+/* Least squares of callee C around the average, with the prior as a ridge.  */
+static void
+solve_callee (call_learner_t *learner, const gsl_matrix *decomposed,
+              uint32_t c)
 {
-  uint32_t n = fit->count;
-  gsl_matrix *a = gsl_matrix_alloc (n, n);
-  gsl_vector *b = gsl_vector_alloc (n);
+  uint32_t n = learner->routes.count;
+  double average = average_ratio (learner, c);
   gsl_vector *x = gsl_vector_alloc (n);
   for (uint32_t i = 0; i < n; i++)
     {
-      gsl_vector_set (b, i, learner->xy[c][fit->routes[i]]);
+      double expected = 0;
       for (uint32_t j = 0; j < n; j++)
-        gsl_matrix_set (a, i, j,
-                        learner->xx[fit->routes[i]][fit->routes[j]]);
+        expected += learner->xx[i][j] * average;
+      gsl_vector_set (x, i, learner->xy[c][i] - expected);
     }
-  bool solved = gsl_linalg_cholesky_decomp1 (a) == GSL_SUCCESS
-                && gsl_linalg_cholesky_solve (a, b, x) == GSL_SUCCESS;
-  fit->left = learner->yy[c];
-  for (uint32_t i = 0; solved && i < n; i++)
-    {
-      fit->ratios[i] = gsl_vector_get (x, i);
-      fit->left -= fit->ratios[i] * gsl_vector_get (b, i);
-      solved = fit->ratios[i] > 0;
-    }
-  gsl_matrix_free (a);
-  gsl_vector_free (b);
+  gsl_linalg_cholesky_svx (decomposed, x);
+  for (uint32_t i = 0; i < n; i++)
+    learner->ratio[c][i] = average + gsl_vector_get (x, i);
   gsl_vector_free (x);
-  return solved;
-}
-
-static bool
-fit_holds (const fit_t *fit, uint32_t route)
-{
-  for (uint32_t i = 0; i < fit->count; i++)
-    if (fit->routes[i] == route)
-      return true;
-  return false;
-}
-
-/* Takes in the route that explains most of what FIT leaves.  False when none
-   explains enough.  */
-static bool
-fit_grow (const call_learner_t *learner, uint32_t c, fit_t *fit)
-{
-  fit_t best = *fit;
-  if (fit->count == CALLERS_MAX)
-    return false;
-  for (uint32_t i = 0; i < learner->routes.count; i++)
-    {
-      fit_t more = *fit;
-      if (fit_holds (fit, i) || learner->xx[i][i] <= 0)
-        continue;
-      more.routes[more.count++] = i;
-      if (fit_solve (learner, c, &more) && more.left < best.left)
-        best = more;
-    }
-  if (best.left > fit->left * (1 - GAIN_LEAST))
-    return false;
-  *fit = best;
-  return true;
 }
 
 static void
 solve (call_learner_t *learner)
 {
-  memset (learner->ratio, 0, sizeof learner->ratio);
-  for (uint32_t c = 0; c < learner->callees.count; c++)
-    {
-      fit_t fit = { .left = learner->yy[c] };
-      while (fit.left > 0 && fit_grow (learner, c, &fit))
-        ;
-      for (uint32_t i = 0; i < fit.count; i++)
-        learner->ratio[c][fit.routes[i]] = fit.ratios[i];
-    }
+  uint32_t n = learner->routes.count;
+  gsl_matrix *a = gsl_matrix_alloc (n, n);
+  for (uint32_t i = 0; i < n; i++)
+    for (uint32_t j = 0; j < n; j++)
+      gsl_matrix_set (a, i, j, learner->xx[i][j] + (i == j ? PRIOR : 0));
+  if (gsl_linalg_cholesky_decomp1 (a) == GSL_SUCCESS)
+    for (uint32_t c = 0; c < learner->callees.count; c++)
+      solve_callee (learner, a, c);
+  gsl_matrix_free (a);
 }
 
 static void
@@ -184,8 +146,6 @@
                           + learner->ran[i] * learner->ran[j];
   for (uint32_t c = 0; c < learner->callees.count; c++)
     {
-      learner->yy[c] = learner->yy[c] * FORGETTING
-                       + learner->called[c] * learner->called[c];
       for (uint32_t i = 0; i < n; i++)
         learner->xy[c][i] = learner->xy[c][i] * FORGETTING
                             + learner->called[c] * learner->ran[i];
@@ -204,7 +164,7 @@
     return;
   learner->period_us = now_us;
   add_period (learner);
-  if (learner->periods >= PERIODS_LEAST)
+  if (learner->periods >= PERIODS_LEAST && learner->routes.count > 0)
     solve (learner);
 }
 
--- a/src/mesh/call_learner.h
+++ b/src/mesh/call_learner.h
@@ -4,9 +4,8 @@
 /* Learns how many calls of each route a run of each route makes.  Calls carry
    no sign of the run that makes them, so it goes by counts: in periods of a
    second, the calls that left against the runs of each route that began, by
-   least squares with forgetting.  Routes are taken in one by one while each
-   explains a good part of what the others leave; a route that makes no calls
-   otherwise takes credit for those of a busier one beside it.  */
+   least squares with forgetting.  Until the counts tell routes apart, each
+   run at a server counts as making as many calls as the average one there.  */
 
 #include "types.h"
 
--- a/src/mesh/intake.c
+++ b/src/mesh/intake.c
@@ -11,17 +11,12 @@
   QUEUE_CAPACITY = 2048, /* entries; bounds memory, waits are bounded first */
   PRESSURE_PERIOD_US = 100 * US_PER_MS, /* between two steps of pressure */
   WAIT_AIM_US = 40 * US_PER_MS, /* of calls, while the server is loaded */
-  CALLERS_MEMORY_US = 5 * US_PER_S, /* without one, none of their slots is
-                                       kept free */
   COLD_BURST = 4 /* requests at once after a quiet time on a cold server */
 };
 
 /* Servers slow down when nearly all slots are taken; health checks take one.
  */
 static const double WINDOW_SHARE = 0.95;
-/* Slots that calls of other servers leave free: runs that wait for a server
-   further down would otherwise hold all of them.  */
-static const double CALLERS_SHARE = 0.1;
 static const double RUN_WEIGHT = 1.0 / 32; /* of one run in the mean */
 /* Steps of the admitted share, as parts of itself.  A change shows after the
    time that a tree of calls takes, about a second; larger steps than about a
@@ -37,9 +32,7 @@
   intake_server_t server;
   queue_t *calls; /* of backend servers */
   queue_t *callers;
-  int64_t callers_us; /* when the last request of a caller came */
   uint32_t running;
-  uint32_t running_calls;
   int64_t calls_work_us; /* that is queued */
   int64_t callers_work_us;
   double run_us;
@@ -110,19 +103,6 @@
   return !intake_is_cold (intake, now_us) || intake->cold_tokens >= 1;
 }
 
-/* Whether one more of this kind may start now.  */
-static bool
-may_start (intake_t *intake, bool from_backend, int64_t now_us)
-{
-  if (!has_room (intake, now_us))
-    return false;
-  bool shared = intake->callers_us > 0
-                && now_us - intake->callers_us < CALLERS_MEMORY_US;
-  uint32_t kept
-      = shared ? (uint32_t)ceil (window (intake) * CALLERS_SHARE) : 0;
-  return !from_backend || intake->running_calls + kept < window (intake);
-}
-
 static void
 start (intake_t *intake, intake_entry_t *entry, int64_t now_us)
 {
@@ -131,7 +111,6 @@
   entry->running = true;
   entry->started_us = now_us;
   intake->running++;
-  intake->running_calls += entry->from_backend;
   INVARIANT (intake->running <= intake->server.slots,
              "%u run on %u slots", intake->running, intake->server.slots);
 }
@@ -262,10 +241,8 @@
     }
   if (entry->expected_us == 0)
     entry->expected_us = (int64_t)intake->run_us;
-  if (!entry->from_backend)
-    intake->callers_us = now_us;
   if (queue_count (queue_of (intake, entry)) == 0
-      && may_start (intake, entry->from_backend, now_us))
+      && has_room (intake, now_us))
     {
       start (intake, entry, now_us);
       return INTAKE_START;
@@ -302,10 +279,9 @@
 }
 
 static bool
-start_next (intake_t *intake, queue_t *queue, bool from_backend,
-            int64_t now_us)
+start_next (intake_t *intake, queue_t *queue, int64_t now_us)
 {
-  if (queue_count (queue) == 0 || !may_start (intake, from_backend, now_us))
+  if (queue_count (queue) == 0 || !has_room (intake, now_us))
     return false;
   intake_entry_t *entry = dequeued (intake, queue_pop (queue, now_us));
   start (intake, entry, now_us);
@@ -316,8 +292,8 @@
 static void
 start_waiting (intake_t *intake, int64_t now_us)
 {
-  while (start_next (intake, intake->calls, true, now_us)
-         || start_next (intake, intake->callers, false, now_us))
+  while (start_next (intake, intake->calls, now_us)
+         || start_next (intake, intake->callers, now_us))
     ;
 }
 
@@ -328,7 +304,6 @@
   INVARIANT (entry->running, "an entry that does not run has finished");
   entry->running = false;
   intake->running--;
-  intake->running_calls -= entry->from_backend;
   double run_us = (double)(now_us - entry->started_us);
   if (ran && intake->run_us <= 0)
     intake->run_us = run_us;
