--- a/src/mesh/intake.c
+++ b/src/mesh/intake.c
@@ -30,7 +30,7 @@
 {
   intake_actions_t actions;
   intake_server_t server;
-  queue_t *calls; /* of backend servers */
+  heap_t calls; /* of backend servers, the earliest deadline first */
   queue_t *callers;
   uint32_t running;
   int64_t calls_work_us; /* that is queued */
@@ -43,6 +43,20 @@
   uint32_t calls_refused; /* since the last step of pressure */
 };
 
+static bool
+due_before (const void *a, const void *b)
+{
+  const intake_entry_t *x = a;
+  const intake_entry_t *y = b;
+  return x->deadline_us < y->deadline_us;
+}
+
+static uint32_t *
+call_place (void *item)
+{
+  return &((intake_entry_t *)item)->place;
+}
+
 intake_t *
 intake_new (const intake_actions_t *actions, int64_t now_us)
 {
@@ -51,7 +65,7 @@
   if (intake == NULL)
     abort ();
   intake->actions = *actions;
-  intake->calls = queue_new (&options);
+  heap_init (&intake->calls, QUEUE_CAPACITY, due_before, call_place);
   intake->callers = queue_new (&options);
   intake->admitted = 1;
   intake->pressure_us = now_us;
@@ -64,7 +78,7 @@
 {
   if (intake == NULL)
     return;
-  queue_free (intake->calls);
+  heap_free (&intake->calls);
   queue_free (intake->callers);
   free (intake);
 }
@@ -93,6 +107,12 @@
   intake->cold_us = now_us;
 }
 
+static int64_t
+earlier (int64_t a, int64_t b)
+{
+  return a < b ? a : b;
+}
+
 /* Whether the server can take one more now.  */
 static bool
 has_room (intake_t *intake, int64_t now_us)
@@ -121,16 +141,10 @@
   return (intake_entry_t *)((char *)entry - offsetof (intake_entry_t, entry));
 }
 
-static queue_t *
-queue_of (const intake_t *intake, const intake_entry_t *entry)
-{
-  return entry->from_backend ? intake->calls : intake->callers;
-}
-
 static uint32_t
 queued (const intake_t *intake)
 {
-  return queue_count (intake->calls) + queue_count (intake->callers);
+  return intake->calls.count + queue_count (intake->callers);
 }
 
 static void
@@ -142,11 +156,22 @@
     intake->callers_work_us += sign * entry->expected_us;
 }
 
+/* The call that is due first, taken off its queue, or NULL.  */
 static intake_entry_t *
-dequeued (intake_t *intake, queue_entry_t *entry)
+take_call (intake_t *intake)
 {
+  intake_entry_t *entry = heap_top (&intake->calls);
   if (entry == NULL)
     return NULL;
+  heap_remove (&intake->calls, entry);
+  count_work (intake, entry, -1);
+  return entry;
+}
+
+/* A caller's request that has left its queue.  */
+static intake_entry_t *
+taken_off (intake_t *intake, queue_entry_t *entry)
+{
   intake_entry_t *found = from_queue (entry);
   count_work (intake, found, -1);
   return found;
@@ -166,7 +191,7 @@
 wait_us (const intake_t *intake, bool from_backend, int64_t now_us)
 {
   uint32_t ahead
-      = from_backend ? queue_count (intake->calls) : queued (intake);
+      = from_backend ? intake->calls.count : queued (intake);
   double ahead_us = (double)intake->calls_work_us;
   if (!from_backend)
     ahead_us += (double)intake->callers_work_us;
@@ -193,11 +218,14 @@
 }
 
 static void
-refuse_all (intake_t *intake, queue_t *queue, cause_t cause)
+refuse_all (intake_t *intake, cause_t cause)
 {
+  intake_entry_t *call;
   queue_entry_t *next;
-  while ((next = queue_pop (queue, 0)) != NULL)
-    refuse (intake, dequeued (intake, next), cause);
+  while ((call = take_call (intake)) != NULL)
+    refuse (intake, call, cause);
+  while ((next = queue_pop (intake->callers, 0)) != NULL)
+    refuse (intake, taken_off (intake, next), cause);
 }
 
 void
@@ -214,87 +242,108 @@
       intake->cold_tokens = 0;
       intake->cold_us = now_us;
     }
-  if (!is_shut (intake, &cause))
-    return;
-  refuse_all (intake, intake->calls, cause);
-  refuse_all (intake, intake->callers, cause);
+  if (is_shut (intake, &cause))
+    refuse_all (intake, cause);
 }
 
-/* Longest useful wait: the run itself must still fit.  */
+/* When the run can no longer end in time.  */
 static int64_t
-wait_bound_us (const intake_entry_t *entry, int64_t now_us)
+hopeless_us (const intake_entry_t *entry)
 {
-  int64_t left_us = entry->deadline_us - now_us - entry->expected_us;
-  return left_us < entry->wait_us ? left_us : entry->wait_us;
+  return entry->deadline_us - entry->expected_us;
 }
 
-intake_verdict_t
-intake_offer (intake_t *intake, intake_entry_t *entry, int64_t now_us,
-              cause_t *cause)
+/* Calls wait as long as they are of use: those of the oldest requests, on
+   which most work hangs, go first.  */
+static intake_verdict_t
+queue_call (intake_t *intake, intake_entry_t *entry, int64_t now_us,
+            cause_t *cause)
 {
-  if (is_shut (intake, cause))
-    return INTAKE_REFUSED;
-  if (entry->deadline_us <= now_us)
-    {
-      *cause = CAUSE_DEADLINE;
-      return INTAKE_REFUSED;
-    }
-  if (entry->expected_us == 0)
-    entry->expected_us = (int64_t)intake->run_us;
-  if (queue_count (queue_of (intake, entry)) == 0
-      && has_room (intake, now_us))
+  *cause = CAUSE_QUEUE_FULL;
+  if (hopeless_us (entry) <= now_us)
+    *cause = CAUSE_WAIT_TOO_LONG;
+  else if (intake->calls.count < QUEUE_CAPACITY)
     {
-      start (intake, entry, now_us);
-      return INTAKE_START;
+      heap_push (&intake->calls, entry);
+      count_work (intake, entry, 1);
+      return INTAKE_QUEUED;
     }
-  int64_t bound_us = wait_bound_us (entry, now_us);
-  if (wait_us (intake, entry->from_backend, now_us) > bound_us)
+  intake->calls_refused++;
+  return INTAKE_REFUSED;
+}
+
+/* A caller's request waits only if its turn comes soon enough.  */
+static intake_verdict_t
+queue_caller (intake_t *intake, intake_entry_t *entry, int64_t now_us,
+              cause_t *cause)
+{
+  int64_t bound_us = earlier (entry->wait_us, hopeless_us (entry) - now_us);
+  *cause = CAUSE_WAIT_TOO_LONG;
+  if (wait_us (intake, false, now_us) > bound_us)
     {
-      *cause = intake_is_cold (intake, now_us) ? CAUSE_COLD
-                                               : CAUSE_WAIT_TOO_LONG;
-      if (entry->from_backend)
-        intake->calls_refused++;
+      if (intake_is_cold (intake, now_us))
+        *cause = CAUSE_COLD;
       return INTAKE_REFUSED;
     }
   entry->entry = (queue_entry_t){
-    .account = entry->from_backend ? 0 : entry->account,
+    .account = entry->account,
     .weight = 1,
-    .priority = entry->from_backend ? 0 : entry->priority,
-    .work_sunk = entry->from_backend,
+    .priority = entry->priority,
     .expire_us = now_us + bound_us,
   };
   count_work (intake, entry, 1);
   queue_entry_t *evicted
-      = queue_push (queue_of (intake, entry), &entry->entry, bound_us,
-                    now_us);
+      = queue_push (intake->callers, &entry->entry, bound_us, now_us);
+  *cause = CAUSE_QUEUE_FULL;
+  if (evicted == NULL)
+    return INTAKE_QUEUED;
+  taken_off (intake, evicted);
   if (evicted == &entry->entry)
-    {
-      dequeued (intake, evicted);
-      *cause = CAUSE_QUEUE_FULL;
-      return INTAKE_REFUSED;
-    }
-  if (evicted != NULL)
-    refuse (intake, dequeued (intake, evicted), CAUSE_QUEUE_FULL);
+    return INTAKE_REFUSED;
+  refuse (intake, from_queue (evicted), CAUSE_QUEUE_FULL);
   return INTAKE_QUEUED;
 }
 
-static bool
-start_next (intake_t *intake, queue_t *queue, int64_t now_us)
+intake_verdict_t
+intake_offer (intake_t *intake, intake_entry_t *entry, int64_t now_us,
+              cause_t *cause)
 {
-  if (queue_count (queue) == 0 || !has_room (intake, now_us))
-    return false;
-  intake_entry_t *entry = dequeued (intake, queue_pop (queue, now_us));
-  start (intake, entry, now_us);
-  intake->actions.start (intake->actions.ctx, entry);
-  return true;
+  if (is_shut (intake, cause))
+    return INTAKE_REFUSED;
+  if (entry->deadline_us <= now_us)
+    {
+      *cause = CAUSE_DEADLINE;
+      return INTAKE_REFUSED;
+    }
+  if (entry->expected_us == 0)
+    entry->expected_us = (int64_t)intake->run_us;
+  uint32_t ahead
+      = entry->from_backend ? intake->calls.count : queued (intake);
+  if (ahead == 0 && has_room (intake, now_us))
+    {
+      start (intake, entry, now_us);
+      return INTAKE_START;
+    }
+  return entry->from_backend ? queue_call (intake, entry, now_us, cause)
+                             : queue_caller (intake, entry, now_us, cause);
 }
 
 static void
 start_waiting (intake_t *intake, int64_t now_us)
 {
-  while (start_next (intake, intake->calls, now_us)
-         || start_next (intake, intake->callers, now_us))
-    ;
+  while (queued (intake) > 0 && has_room (intake, now_us))
+    {
+      intake_entry_t *entry = take_call (intake);
+      if (entry == NULL)
+        entry = taken_off (intake, queue_pop (intake->callers, now_us));
+      else if (hopeless_us (entry) <= now_us)
+        {
+          refuse (intake, entry, CAUSE_WAIT_TOO_LONG);
+          continue;
+        }
+      start (intake, entry, now_us);
+      intake->actions.start (intake->actions.ctx, entry);
+    }
 }
 
 void
@@ -315,8 +364,11 @@
 void
 intake_withdraw (intake_t *intake, intake_entry_t *entry)
 {
-  queue_remove (queue_of (intake, entry), &entry->entry);
-  dequeued (intake, &entry->entry);
+  if (entry->from_backend)
+    heap_remove (&intake->calls, entry);
+  else
+    queue_remove (intake->callers, &entry->entry);
+  count_work (intake, entry, -1);
 }
 
 /* Calls that wait longer than is aimed at lower the share of callers'
@@ -337,11 +389,15 @@
 }
 
 static void
-refuse_expired (intake_t *intake, queue_t *queue, int64_t now_us)
+refuse_expired (intake_t *intake, int64_t now_us)
 {
   queue_entry_t *expired;
-  while ((expired = queue_expired (queue, now_us)) != NULL)
-    refuse (intake, dequeued (intake, expired), CAUSE_WAIT_TOO_LONG);
+  const intake_entry_t *call;
+  while ((call = heap_top (&intake->calls)) != NULL
+         && hopeless_us (call) <= now_us)
+    refuse (intake, take_call (intake), CAUSE_WAIT_TOO_LONG);
+  while ((expired = queue_expired (intake->callers, now_us)) != NULL)
+    refuse (intake, taken_off (intake, expired), CAUSE_WAIT_TOO_LONG);
 }
 
 /* When a cold server bears the next request.  */
@@ -356,24 +412,16 @@
   return now_us + (int64_t)(missing * US_PER_S / rate) + 1;
 }
 
-static int64_t
-earlier (int64_t a, int64_t b)
-{
-  return a < b ? a : b;
-}
-
 int64_t
 intake_tick (intake_t *intake, int64_t now_us)
 {
   start_waiting (intake, now_us);
-  refuse_expired (intake, intake->calls, now_us);
-  refuse_expired (intake, intake->callers, now_us);
+  refuse_expired (intake, now_us);
   for (; now_us - intake->pressure_us >= PRESSURE_PERIOD_US;
        intake->pressure_us += PRESSURE_PERIOD_US)
     step_pressure (intake);
   return earlier (next_token_us (intake, now_us),
-                  earlier (queue_next_expiry_us (intake->calls),
-                           queue_next_expiry_us (intake->callers)));
+                  queue_next_expiry_us (intake->callers));
 }
 
 server_load_t
--- a/src/mesh/intake.h
+++ b/src/mesh/intake.h
@@ -5,7 +5,8 @@
    which wait, which are refused.
 
    - Calls of other backend servers go before requests of callers: work that
-     has been done already hangs on them.
+     has been done already hangs on them.  Among them the earliest deadline
+     goes first, which finishes trees of calls before it begins new ones.
    - A request waits only while it can still end in time, by the work that is
      ahead of it and its own; it is refused at once otherwise.
    - A server that is full may never answer, so no more than its slots run.
@@ -16,6 +17,7 @@
    No locks; the caller passes the time.  Entries are borrowed from
    intake_offer until they have ended.  */
 
+#include "heap.h"
 #include "mesh/call.h"
 #include "queue.h"
 
@@ -30,7 +32,8 @@
   int64_t deadline_us;
   void *handle; /* the caller's */
   /* Private.  */
-  queue_entry_t entry;
+  queue_entry_t entry; /* of a caller's request */
+  uint32_t place;      /* of a call, in its queue */
   int64_t started_us;
   bool running;
 } intake_entry_t;
