Take a lost question for no answer

Its sidecar lost power; the question to its successor was queued on a second link that was closed again, and a call whose frame has not left counts as not run: true for the question, not for the booking. Ruled out: the incarnation check (the answer never came from the successor). Change: a question that is lost, or answered by a sidecar of another service, is asked again until the deadline, then ends as unknown.

--- a/src/edge/entry_point.c
+++ b/src/edge/entry_point.c
@@ -535,17 +535,23 @@
   return true;
 }
 
+static void
+wait_to_ask (exchange_t *exchange)
+{
+  if (look_again (exchange, exchange->deadline_us - MARGIN_US))
+    return;
+  exchange->may_have_run = true;
+  finish_unanswered (exchange, ENTRY_DEADLINE);
+}
+
 static void
 ask (exchange_t *exchange)
 {
   exchange->step = STEP_ASKING;
   if (send_there (exchange))
-    {
-      arm_deadline (exchange);
-      return;
-    }
-  if (!look_again (exchange, exchange->deadline_us - MARGIN_US))
-    finish_unanswered (exchange, ENTRY_DEADLINE);
+    arm_deadline (exchange);
+  else
+    wait_to_ask (exchange);
 }
 
 static void
@@ -692,6 +698,15 @@
   place (exchange);
 }
 
+/* Whether a question about an earlier sending was lost itself.  Only the
+   process that the sending went to can tell that it did not run.  */
+static bool
+is_no_answer (const call_failure_t *failure)
+{
+  return failure->cause == CAUSE_PEER_LOST || failure->cause == CAUSE_NO_PEER
+         || failure->cause == CAUSE_WRONG_SERVICE;
+}
+
 static void
 on_failed (void *ctx, const call_failure_t *failure)
 {
@@ -714,6 +729,11 @@
                : failure->failure == FAILURE_LOST  ? RUN_LOST
                                                    : RUN_FAILED,
                0, &failure->load);
+  if (asked && is_no_answer (failure))
+    {
+      wait_to_ask (exchange);
+      return;
+    }
   if (failure->failure == FAILURE_REFUSED)
     {
       refused (exchange, failure);
