Count rates in the users' window; send brief reports

Ruled out: uneven shares (the refusals were spread as the demand). Change: the fleet's window of 20 periods in place of the bucket; a report tells names once in 4 s, accounts by number and only when they change.

--- a/src/edge/peer.c
+++ b/src/edge/peer.c
@@ -147,15 +147,15 @@
 }
 
 void
-peer_set_report (peer_set_t *peers)
+peer_set_report (peer_set_t *peers, bool whole)
 {
   for (peer_link_t *link = peers->links; link != NULL; link = link->next)
     if (!link->connecting)
-      link_send_report (link);
+      link_send_report (link, whole);
 }
 
 void
-peer_set_tick (peer_set_t *peers)
+peer_set_tick (peer_set_t *peers, bool whole)
 {
   peer_link_t *next;
   for (peer_link_t *link = peers->links; link != NULL; link = next)
@@ -165,7 +165,7 @@
     }
   for (peer_t *peer = peers->first; peer != NULL; peer = peer->next)
     dial (peer);
-  peer_set_report (peers);
+  peer_set_report (peers, whole);
 }
 
 static void
@@ -178,7 +178,7 @@
   if (fd < 0)
     return;
   loop_tune (fd, LINK_SILENCE_MS);
-  link_send_report (link_open (peers, fd, false));
+  link_send_report (link_open (peers, fd, false), true);
 }
 
 peer_set_t *
--- a/src/edge/peer.h
+++ b/src/edge/peer.h
@@ -24,9 +24,9 @@
 
 typedef struct peer_handler_t
 {
-  /* Fills the report for a link that has just opened, or for all.  The
-     strings and lists are borrowed until the call that asked returns.  */
-  void (*make_report) (void *ctx, mesh_report *report);
+  /* Fills a report, WHOLE for a link that has just opened.  The strings and
+     lists are borrowed until the call that asked returns.  */
+  void (*make_report) (void *ctx, mesh_report *report, bool whole);
   void (*report) (void *ctx, peer_t *peer, const mesh_report *report);
   /* The last connection to PEER has ended.  */
   void (*down) (void *ctx, peer_t *peer);
@@ -58,10 +58,10 @@
 
 /* Sends reports, dials what is down, closes what is silent.  Call it every
    PEER_REPORT_US.  */
-void peer_set_tick (peer_set_t *peers);
+void peer_set_tick (peer_set_t *peers, bool whole);
 
-/* Sends a report now, since something changed.  */
-void peer_set_report (peer_set_t *peers);
+/* Sends a whole report now, since something changed.  */
+void peer_set_report (peer_set_t *peers, bool whole);
 
 peer_t *peer_set_find (peer_set_t *peers, vm_id_t vm);
 vm_id_t peer_vm (const peer_t *peer);
--- a/src/edge/peer_impl.h
+++ b/src/edge/peer_impl.h
@@ -103,7 +103,7 @@
 /* Encodes VALUE as a frame.  ROOM is at least its size.  */
 void link_send (peer_link_t *link, mesh_kind kind, xdrproc_t encode,
                 void *value, size_t room);
-void link_send_report (peer_link_t *link);
+void link_send_report (peer_link_t *link, bool whole);
 
 /* The links of PEER have changed.  */
 void peer_relink (peer_t *peer);
--- a/src/edge/peer_link.c
+++ b/src/edge/peer_link.c
@@ -67,12 +67,12 @@
 }
 
 void
-link_send_report (peer_link_t *link)
+link_send_report (peer_link_t *link, bool whole)
 {
   mesh_report report;
   peer_handler_t *handler = &link->peers->handler;
   memset (&report, 0, sizeof report);
-  handler->make_report (handler->ctx, &report);
+  handler->make_report (handler->ctx, &report, whole);
   report.vm = link->peers->own;
   link_send (link, MESH_REPORT, (xdrproc_t)xdr_mesh_report, &report,
              REPORT_ROOM);
@@ -199,7 +199,7 @@
         }
       link->connecting = false;
       ev_io_start (ev, &link->reader);
-      link_send_report (link);
+      link_send_report (link, true);
     }
   link_flush (link);
 }
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -22,6 +22,7 @@
   REPORT_LIST_MAX = 128, /* services and accounts in one report */
   CENTI = 100,
   PERMILLE = 1000,
+  WHOLE_REPORTS = 16, /* one in so many reports tells all, not changes */
   RATIO_REPORTS = 8, /* one in so many reports tells what calls what */
   RATIO_LOGGED = 40, /* one in so many is logged with it */
   /* A caller's machine misses two readiness checks, a second apart, before
@@ -76,6 +77,7 @@
   phase_t phase;
   int64_t stop_us; /* when the stop began */
   int64_t load_logged_us;
+  mesh_identity identity; /* what a whole report borrows */
   mesh_ratio ratios[REPORT_LIST_MAX];
   uint32_t ratio_count;
   uint32_t reports;
@@ -109,7 +111,7 @@
   fleet_server_t server;
   own_server (sidecar, &server);
   fleet_put (sidecar->fleet, &server, sidecar->loop.now_us);
-  peer_set_report (sidecar->peers);
+  peer_set_report (sidecar->peers, true);
 }
 
 static void
@@ -147,26 +149,28 @@
   if (sidecar->demand_count == REPORT_LIST_MAX)
     return;
   sidecar->demands[sidecar->demand_count++]
-      = (mesh_demand){ (char *)news->account,
-                       (u_int)(news->demand_per_s * CENTI), news->admitted };
+      = (mesh_demand){ news->account, (u_int)(news->demand_per_s * CENTI),
+                       news->admitted };
 }
 
 static void
-make_report (void *ctx, mesh_report *report)
+make_report (void *ctx, mesh_report *report, bool whole)
 {
   sidecar_t *sidecar = ctx;
   fleet_server_t server;
   own_server (sidecar, &server);
-  *report = (mesh_report){
-    .incarnation = sidecar->incarnation,
-    .config_version = operator_feed_version (sidecar->operators),
-    .operator_offset = operator_feed_offset (sidecar->operators),
+  sidecar->identity = (mesh_identity){
     .service = (char *)server.service,
     .zone = (char *)server.zone,
     .server = (char *)server.server_id,
     .accepting = server.accepting,
-    .leaving = sidecar->phase != PHASE_RUNNING,
     .slots = server.slots,
+  };
+  *report = (mesh_report){
+    .incarnation = sidecar->incarnation,
+    .config_version = operator_feed_version (sidecar->operators),
+    .operator_offset = operator_feed_offset (sidecar->operators),
+    .identity = whole ? &sidecar->identity : NULL,
     .load = { server.load.running, server.load.queued, server.load.window,
               server.load.pressure_permille },
     .ratios = { sidecar->ratio_count, sidecar->ratios },
@@ -177,21 +181,35 @@
 /* --- what the others tell ---------------------------------------------- */
 
 static void
-on_report (void *ctx, peer_t *peer, const mesh_report *report)
+take_identity (sidecar_t *sidecar, vm_id_t vm, const mesh_report *report,
+               const server_load_t *load)
 {
-  sidecar_t *sidecar = ctx;
+  const mesh_identity *identity = report->identity;
   fleet_server_t server = {
-    .vm = peer_vm (peer),
+    .vm = vm,
     .incarnation = report->incarnation,
-    .service = report->service,
-    .zone = report->zone,
-    .server_id = report->server,
-    .slots = report->slots,
-    .accepting = report->accepting != 0,
-    .load = { report->load.running, report->load.queued, report->load.window,
-              report->load.pressure_permille },
+    .service = identity->service,
+    .zone = identity->zone,
+    .server_id = identity->server,
+    .slots = identity->slots,
+    .accepting = identity->accepting != 0,
+    .load = *load,
   };
   fleet_put (sidecar->fleet, &server, sidecar->loop.now_us);
+}
+
+static void
+on_report (void *ctx, peer_t *peer, const mesh_report *report)
+{
+  sidecar_t *sidecar = ctx;
+  vm_id_t vm = peer_vm (peer);
+  server_load_t load
+      = { report->load.running, report->load.queued, report->load.window,
+          report->load.pressure_permille };
+  if (report->identity != NULL)
+    take_identity (sidecar, vm, report, &load);
+  else
+    fleet_put_load (sidecar->fleet, vm, &load, sidecar->loop.now_us);
   for (u_int i = 0; i < report->ratios.ratios_len; i++)
     take_ratio (sidecar, &report->ratios.ratios_val[i]);
   for (u_int i = 0; i < report->demands.demands_len; i++)
@@ -200,9 +218,9 @@
       quota_news_t news = { demand->account,
                             (double)demand->centi_per_s / CENTI,
                             demand->admitted };
-      quota_heard (sidecar->quota, server.vm, report->incarnation, &news);
+      quota_heard (sidecar->quota, vm, report->incarnation, &news);
     }
-  quota_silent (sidecar->quota, server.vm, false);
+  quota_silent (sidecar->quota, vm, false);
   if (report->config_version > operator_feed_version (sidecar->operators)
       || report->operator_offset
              > operator_feed_offset (sidecar->operators))
@@ -510,10 +528,11 @@
   own_server (sidecar, &server);
   fleet_put (sidecar->fleet, &server, sidecar->loop.now_us);
   tell_ratios (sidecar);
+  bool whole = sidecar->reports % WHOLE_REPORTS == 0;
   sidecar->demand_count = 0;
   quota_tick (sidecar->quota, sidecar->loop.now_us, rng_unit (&sidecar->rng),
-              add_demand, sidecar);
-  peer_set_tick (sidecar->peers);
+              whole, add_demand, sidecar);
+  peer_set_tick (sidecar->peers, whole);
 }
 
 static void
--- a/src/mesh/fleet.c
+++ b/src/mesh/fleet.c
@@ -181,6 +181,17 @@
     tell_choose (fleet, member, now_us);
 }
 
+void
+fleet_put_load (fleet_t *fleet, vm_id_t vm, const server_load_t *load,
+                int64_t now_us)
+{
+  member_t *member = member_find (fleet, vm);
+  if (member == NULL)
+    return;
+  member->pressure_permille = load->pressure_permille;
+  member->told_us = now_us;
+}
+
 void
 fleet_down (fleet_t *fleet, vm_id_t vm, int64_t now_us)
 {
--- a/src/mesh/fleet.h
+++ b/src/mesh/fleet.h
@@ -31,6 +31,10 @@
 
 void fleet_put (fleet_t *fleet, const fleet_server_t *server, int64_t now_us);
 
+/* The load of a server that was put before.  */
+void fleet_put_load (fleet_t *fleet, vm_id_t vm, const server_load_t *load,
+                     int64_t now_us);
+
 /* The sidecar cannot be reached, or has left.  */
 void fleet_down (fleet_t *fleet, vm_id_t vm, int64_t now_us);
 void fleet_remove (fleet_t *fleet, vm_id_t vm);
--- a/src/mesh/mesh_proto.h
+++ b/src/mesh/mesh_proto.h
@@ -54,23 +54,27 @@
 typedef struct mesh_ratio mesh_ratio;
 
 struct mesh_demand {
-	mesh_name account;
+	u_int account;
 	u_int centi_per_s;
 	u_int admitted;
 };
 typedef struct mesh_demand mesh_demand;
 
-struct mesh_report {
-	u_quad_t vm;
-	u_quad_t incarnation;
-	u_quad_t config_version;
-	quad_t operator_offset;
+struct mesh_identity {
 	mesh_name service;
 	mesh_name zone;
 	mesh_name server;
 	u_int accepting;
-	u_int leaving;
 	u_int slots;
+};
+typedef struct mesh_identity mesh_identity;
+
+struct mesh_report {
+	u_quad_t vm;
+	u_quad_t incarnation;
+	u_quad_t config_version;
+	quad_t operator_offset;
+	mesh_identity *identity;
 	mesh_load load;
 	struct {
 		u_int ratios_len;
@@ -175,6 +179,7 @@
 extern  bool_t xdr_mesh_load (XDR *, mesh_load*);
 extern  bool_t xdr_mesh_ratio (XDR *, mesh_ratio*);
 extern  bool_t xdr_mesh_demand (XDR *, mesh_demand*);
+extern  bool_t xdr_mesh_identity (XDR *, mesh_identity*);
 extern  bool_t xdr_mesh_report (XDR *, mesh_report*);
 extern  bool_t xdr_mesh_call (XDR *, mesh_call*);
 extern  bool_t xdr_mesh_part (XDR *, mesh_part*);
@@ -189,6 +194,7 @@
 extern bool_t xdr_mesh_load ();
 extern bool_t xdr_mesh_ratio ();
 extern bool_t xdr_mesh_demand ();
+extern bool_t xdr_mesh_identity ();
 extern bool_t xdr_mesh_report ();
 extern bool_t xdr_mesh_call ();
 extern bool_t xdr_mesh_part ();
--- a/src/mesh/mesh_proto.x
+++ b/src/mesh/mesh_proto.x
@@ -40,23 +40,27 @@
 
 struct mesh_demand
 {
-  mesh_name account;
+  unsigned int account;
   unsigned int centi_per_s;
   unsigned int admitted;
 };
 
-struct mesh_report
+struct mesh_identity
 {
-  unsigned hyper vm;
-  unsigned hyper incarnation;
-  unsigned hyper config_version;
-  hyper operator_offset;
   mesh_name service;
   mesh_name zone;
   mesh_name server;
   unsigned int accepting;
-  unsigned int leaving;
   unsigned int slots;
+};
+
+struct mesh_report
+{
+  unsigned hyper vm;
+  unsigned hyper incarnation;
+  unsigned hyper config_version;
+  hyper operator_offset;
+  mesh_identity *identity;
   mesh_load load;
   mesh_ratio ratios<MESH_LIST_MAX>;
   mesh_demand demands<MESH_LIST_MAX>;
--- a/src/mesh/mesh_proto_xdr.c
+++ b/src/mesh/mesh_proto_xdr.c
@@ -101,7 +101,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_mesh_name (xdrs, &objp->account))
+	 if (!xdr_u_int (xdrs, &objp->account))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->centi_per_s))
 		 return FALSE;
@@ -111,88 +111,27 @@
 }
 
 bool_t
-xdr_mesh_report (XDR *xdrs, mesh_report *objp)
+xdr_mesh_identity (XDR *xdrs, mesh_identity *objp)
 {
 	register int32_t *buf;
 
+	 if (!xdr_mesh_name (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_mesh_name (xdrs, &objp->zone))
+		 return FALSE;
+	 if (!xdr_mesh_name (xdrs, &objp->server))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->accepting))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slots))
+		 return FALSE;
+	return TRUE;
+}
 
-	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_u_quad_t (xdrs, &objp->vm))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->config_version))
-			 return FALSE;
-		 if (!xdr_quad_t (xdrs, &objp->operator_offset))
-			 return FALSE;
-		 if (!xdr_mesh_name (xdrs, &objp->service))
-			 return FALSE;
-		 if (!xdr_mesh_name (xdrs, &objp->zone))
-			 return FALSE;
-		 if (!xdr_mesh_name (xdrs, &objp->server))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->accepting))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->leaving))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->slots))
-				 return FALSE;
-
-		} else {
-		IXDR_PUT_U_LONG(buf, objp->accepting);
-		IXDR_PUT_U_LONG(buf, objp->leaving);
-		IXDR_PUT_U_LONG(buf, objp->slots);
-		}
-		 if (!xdr_mesh_load (xdrs, &objp->load))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->ratios.ratios_val, (u_int *) &objp->ratios.ratios_len, MESH_LIST_MAX,
-			sizeof (mesh_ratio), (xdrproc_t) xdr_mesh_ratio))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->demands.demands_val, (u_int *) &objp->demands.demands_len, MESH_LIST_MAX,
-			sizeof (mesh_demand), (xdrproc_t) xdr_mesh_demand))
-			 return FALSE;
-		return TRUE;
-	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_u_quad_t (xdrs, &objp->vm))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->config_version))
-			 return FALSE;
-		 if (!xdr_quad_t (xdrs, &objp->operator_offset))
-			 return FALSE;
-		 if (!xdr_mesh_name (xdrs, &objp->service))
-			 return FALSE;
-		 if (!xdr_mesh_name (xdrs, &objp->zone))
-			 return FALSE;
-		 if (!xdr_mesh_name (xdrs, &objp->server))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->accepting))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->leaving))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->slots))
-				 return FALSE;
-
-		} else {
-		objp->accepting = IXDR_GET_U_LONG(buf);
-		objp->leaving = IXDR_GET_U_LONG(buf);
-		objp->slots = IXDR_GET_U_LONG(buf);
-		}
-		 if (!xdr_mesh_load (xdrs, &objp->load))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->ratios.ratios_val, (u_int *) &objp->ratios.ratios_len, MESH_LIST_MAX,
-			sizeof (mesh_ratio), (xdrproc_t) xdr_mesh_ratio))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->demands.demands_val, (u_int *) &objp->demands.demands_len, MESH_LIST_MAX,
-			sizeof (mesh_demand), (xdrproc_t) xdr_mesh_demand))
-			 return FALSE;
-	 return TRUE;
-	}
+bool_t
+xdr_mesh_report (XDR *xdrs, mesh_report *objp)
+{
+	register int32_t *buf;
 
 	 if (!xdr_u_quad_t (xdrs, &objp->vm))
 		 return FALSE;
@@ -202,17 +141,7 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->operator_offset))
 		 return FALSE;
-	 if (!xdr_mesh_name (xdrs, &objp->service))
-		 return FALSE;
-	 if (!xdr_mesh_name (xdrs, &objp->zone))
-		 return FALSE;
-	 if (!xdr_mesh_name (xdrs, &objp->server))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->accepting))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->leaving))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->slots))
+	 if (!xdr_pointer (xdrs, (char **)&objp->identity, sizeof (mesh_identity), (xdrproc_t) xdr_mesh_identity))
 		 return FALSE;
 	 if (!xdr_mesh_load (xdrs, &objp->load))
 		 return FALSE;
--- a/src/mesh/quota.c
+++ b/src/mesh/quota.c
@@ -4,22 +4,28 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "clock.h"
 
 enum
 {
-  AVERAGE_US = US_PER_S /* over which rates are averaged */
+  AVERAGE_US = US_PER_S, /* over which rates are averaged */
+  SLOTS = QUOTA_WINDOW_US / QUOTA_PERIOD_US
 };
 
 /* Part of a rate that goes to all sidecars alike, so that the first requests
    of an account are not refused where none came before.  */
 static const double EVEN_SHARE = 0.15;
-/* A sidecar whose part is below one request may still spend one, if the
-   bucket holds this share of the fleet's number.  The debt that may follow is
-   paid back from the bucket.  */
+/* A sidecar whose part is below one request may still spend one, if as much is
+   left as this share of the fleet's number.  What is overdrawn by it counts in
+   the window like all else.  */
 static const double WHOLE_REQUEST_SHARE = 0.25;
 
+/* Change of demand that is worth telling by itself.  */
+static const double TOLD_CHANGE = 0.1;
+static const double DEMAND_LEAST = 0.01; /* a second; less is none */
+
 typedef struct peer_account_t
 {
   vm_id_t vm;
@@ -33,13 +39,17 @@
 typedef struct account_t
 {
   char name[NAME_BYTES];
+  uint32_t number;
   double rate_per_s;
   double burst;
-  double tokens; /* of the whole fleet; may be a debt */
+  double window[SLOTS]; /* admitted by the whole fleet, by period */
+  uint32_t slot;        /* the newest */
+  double spent;         /* sum of the window */
   double allowance; /* of this sidecar until the next period */
   uint32_t arrived;  /* in this period */
   uint32_t admitted; /* since the start */
   uint32_t admitted_before; /* as of the last period */
+  uint32_t admitted_told;
   double demand_per_s;
   double told_per_s;
   peer_account_t *peers;
@@ -61,6 +71,12 @@
   int64_t tick_us;
 };
 
+uint32_t
+quota_number (const char *account)
+{
+  return (uint32_t)XXH3_64bits (account, strlen (account));
+}
+
 quota_t *
 quota_new (void)
 {
@@ -105,9 +121,19 @@
   account = &quota->accounts[quota->count++];
   *account = (account_t){ .rate_per_s = 0 };
   snprintf (account->name, sizeof account->name, "%s", name);
+  account->number = quota_number (name);
   return account;
 }
 
+static account_t *
+find_number (const quota_t *quota, uint32_t number)
+{
+  for (size_t i = 0; i < quota->count; i++)
+    if (quota->accounts[i].number == number)
+      return &quota->accounts[i];
+  return NULL;
+}
+
 static bool
 is_silent (const quota_t *quota, vm_id_t vm)
 {
@@ -146,16 +172,25 @@
   return sum;
 }
 
-/* The rate that the sidecars that are heard may use together.  */
+/* What the account may have in one window, at all sidecars.  */
 static double
-usable_rate (const quota_t *quota, const account_t *account)
+window_limit (const account_t *account)
 {
+  return account->rate_per_s * QUOTA_WINDOW_US / US_PER_S + account->burst;
+}
+
+/* The same for the sidecars that are heard together.  */
+static double
+usable_limit (const quota_t *quota, const account_t *account)
+{
+  double limit = window_limit (account);
   if (quota->silent_count == 0)
-    return account->rate_per_s;
-  double silent = silent_rate (quota, account);
-  double heard = heard_rate (quota, account);
-  double spare = fmax (0, account->rate_per_s - silent - heard);
-  return fmin (account->rate_per_s, heard + spare * heard_share (quota));
+    return limit;
+  double window_s = (double)QUOTA_WINDOW_US / US_PER_S;
+  double silent = silent_rate (quota, account) * window_s;
+  double heard = heard_rate (quota, account) * window_s;
+  double spare = fmax (0, limit - silent - heard);
+  return fmin (limit, heard + spare * heard_share (quota));
 }
 
 /* This sidecar's part of what the fleet may spend, 0 to 1.  */
@@ -173,22 +208,28 @@
   return EVEN_SHARE / heard + (1 - EVEN_SHARE) * account->told_per_s / all;
 }
 
-/* What this sidecar may admit in the period that begins.  */
+/* What this sidecar may admit in the period that begins: its part of what the
+   window has left once the oldest period has gone out of it.  */
 static double
-next_allowance (const quota_t *quota, const account_t *account,
-                double period_s, double draw)
+next_allowance (const quota_t *quota, const account_t *account, double draw)
 {
-  double usable = usable_rate (quota, account);
-  double room = account->tokens + usable * period_s;
+  double oldest = account->window[(account->slot + 1) % SLOTS];
+  double room = usable_limit (quota, account) - account->spent + oldest;
   if (room <= 0)
     return 0;
   double part = room * own_share (quota, account);
-  double whole = fmin (1, room * WHOLE_REQUEST_SHARE
-                              / fmax (1, quota->members
-                                             * WHOLE_REQUEST_SHARE));
+  double whole = room / fmax (1, quota->members * WHOLE_REQUEST_SHARE);
   return fmax (part, draw < whole ? 1 : 0);
 }
 
+static void
+fill_window (account_t *account)
+{
+  account->spent = window_limit (account);
+  for (int i = 0; i < SLOTS; i++)
+    account->window[i] = account->spent / SLOTS;
+}
+
 void
 quota_set_limit (quota_t *quota, const char *name, double rate_per_s,
                  double burst)
@@ -197,12 +238,11 @@
   bool had = account->rate_per_s > 0;
   if (had && account->rate_per_s == rate_per_s && account->burst == burst)
     return;
-  /* A process that starts anew does not know what was spent of the burst.  */
-  account->tokens = had ? fmin (account->tokens, burst) : 0;
   account->rate_per_s = rate_per_s;
   account->burst = burst;
-  double share = own_share (quota, account);
-  account->allowance = fmax (1, account->tokens * share);
+  if (!had && rate_per_s > 0)
+    fill_window (account);
+  account->allowance = fmin (account->allowance, 1);
 }
 
 bool
@@ -239,7 +279,7 @@
   return before + (sample - before) * weight;
 }
 
-/* Takes what was admitted everywhere in the last period off the bucket.  */
+/* Enters what was admitted everywhere in the last period into the window.  */
 static void
 settle (const quota_t *quota, account_t *account, double period_s)
 {
@@ -256,18 +296,18 @@
                                        period_s);
       peer->since = 0;
     }
-  double most = account->burst * heard_share (quota);
-  account->tokens += usable_rate (quota, account) * period_s - spent;
-  account->tokens = fmin (account->tokens, most);
+  account->slot = (account->slot + 1) % SLOTS;
+  account->spent += spent - account->window[account->slot];
+  account->window[account->slot] = spent;
 }
 
 void
-quota_tick (quota_t *quota, int64_t now_us, double draw, quota_visit_t visit,
-            void *ctx)
+quota_tick (quota_t *quota, int64_t now_us, double draw, bool all,
+            quota_visit_t visit, void *ctx)
 {
   double period_s = (double)(now_us - quota->tick_us) / US_PER_S;
   if (quota->tick_us == 0 || period_s <= 0)
-    period_s = 0.25;
+    period_s = (double)QUOTA_PERIOD_US / US_PER_S;
   quota->tick_us = now_us;
   for (size_t i = 0; i < quota->count; i++)
     {
@@ -275,16 +315,22 @@
       account->demand_per_s = averaged (
           account->demand_per_s, account->arrived / period_s, period_s);
       account->arrived = 0;
-      account->told_per_s
-          = account->demand_per_s < 0.01 ? 0 : account->demand_per_s;
+      double change = fabs (account->demand_per_s - account->told_per_s);
+      bool tell = all || account->admitted != account->admitted_told
+                  || change > TOLD_CHANGE * account->told_per_s;
+      if (account->demand_per_s < DEMAND_LEAST)
+        account->demand_per_s = 0;
       if (account->rate_per_s > 0)
         {
           settle (quota, account, period_s);
-          account->allowance
-              = next_allowance (quota, account, period_s, draw);
+          account->allowance = next_allowance (quota, account, draw);
         }
+      if (!tell)
+        continue;
       quota_news_t news
-          = { account->name, account->told_per_s, account->admitted };
+          = { account->number, account->demand_per_s, account->admitted };
+      account->told_per_s = account->demand_per_s;
+      account->admitted_told = account->admitted;
       visit (ctx, &news);
     }
 }
@@ -308,7 +354,9 @@
 quota_heard (quota_t *quota, vm_id_t vm, uint64_t incarnation,
              const quota_news_t *news)
 {
-  account_t *account = find_or_add (quota, news->account);
+  account_t *account = find_number (quota, news->account);
+  if (account == NULL)
+    return; /* not in this sidecar's configuration yet */
   peer_account_t *peer = peer_find_or_add (account, vm);
   bool known = peer->incarnation == incarnation;
   /* All that a new process has admitted is news; what an old one admitted
--- a/src/mesh/quota.h
+++ b/src/mesh/quota.h
@@ -2,17 +2,25 @@
 #define REDWINGFORD_QUOTA_H
 
 /* The client accounts' rates over all sidecars, without a request between
-   them: each tells, every period, how many requests of each account it has
-   admitted and how many came.  From that every sidecar keeps the same bucket
-   of tokens for the whole fleet, and may spend its part of it, by its part of
-   the demand, until the next period.  What it leaves stays in the bucket.
+   them.  In any window of QUOTA_WINDOW_US an account may have its rate times
+   the window, and its burst.  Each sidecar tells, every period, how many
+   requests of each account it has admitted and how many came; from that every
+   sidecar counts the fleet's window, and may spend its part of what is left,
+   by its part of the demand, until the next period.
 
    A sidecar that falls silent is taken to go on as it did; of what nobody
    used, each side of a cut spends no more than its number of sidecars
-   entitles it to.  */
+   entitles it to.  A process that starts anew takes the window for full.  */
 
+#include "clock.h"
 #include "types.h"
 
+enum
+{
+  QUOTA_WINDOW_US = 5 * US_PER_S, /* over which the users count */
+  QUOTA_PERIOD_US = 250 * US_PER_MS
+};
+
 typedef struct quota_t quota_t;
 
 quota_t *quota_new (void);
@@ -29,18 +37,21 @@
 /* Gives back what was taken for a request that did not run.  */
 void quota_return (quota_t *quota, const char *account);
 
+/* A number for an account's name, the same at all sidecars.  */
+uint32_t quota_number (const char *account);
+
 /* What a sidecar tells of one account.  */
 typedef struct quota_news_t
 {
-  const char *account;
+  uint32_t account;    /* quota_number of its name */
   double demand_per_s; /* requests that came, averaged */
   uint32_t admitted;   /* since the sidecar's start; wraps around */
 } quota_news_t;
 
-/* A period has passed.  Visits what is to be told to the others.  DRAW is
-   from [0, 1).  */
+/* A period has passed.  Visits what has changed and is to be told to the
+   others, or all if ALL.  DRAW is from [0, 1).  */
 typedef void (*quota_visit_t) (void *ctx, const quota_news_t *news);
-void quota_tick (quota_t *quota, int64_t now_us, double draw,
+void quota_tick (quota_t *quota, int64_t now_us, double draw, bool all,
                  quota_visit_t visit, void *ctx);
 
 /* What the sidecar VM has told.  */
