--- a/src/mesh/quota.c
+++ b/src/mesh/quota.c
@@ -17,6 +17,9 @@
 /* Part of a rate that goes to all sidecars alike, so that the first requests
    of an account are not refused where none came before.  */
 static const double EVEN_SHARE = 0.15;
+/* Of what the window has left, spent in one period at most: an account beyond
+   its rate is served evenly, not in one go at the window's start.  */
+static const double PERIOD_SHARE = 0.3;
 /* A sidecar whose part is below one request may still spend one, if as much is
    left as this share of the fleet's number.  What is overdrawn by it counts in
    the window like all else.  */
@@ -217,6 +220,7 @@
   double room = usable_limit (quota, account) - account->spent + oldest;
   if (room <= 0)
     return 0;
+  room *= PERIOD_SHARE;
   double part = room * own_share (quota, account);
   double whole = room / fmax (1, quota->members * WHOLE_REQUEST_SHARE);
   return fmax (part, draw < whole ? 1 : 0);
