--- a/src/edge/entry_point.c
+++ b/src/edge/entry_point.c
@@ -186,7 +186,7 @@
     return;
   walk->costs[walk->count++] = (tree_cost_t){
     service,
-    fleet_pressure (walk->entry->parts.fleet, service, walk->now_us), cost_us
+    placement_pressure (walk->entry->parts.placement, service, walk->now_us), cost_us
   };
 }
 
@@ -246,7 +246,7 @@
   entry_point_t *entry = exchange->entry;
   if (exchange->edition == entry->edition)
     return tree_state (exchange)->pressure > 0;
-  return fleet_pressure (entry->parts.fleet, exchange->service,
+  return placement_pressure (entry->parts.placement, exchange->service,
                          entry->parts.loop->now_us)
          > 0;
 }
@@ -400,7 +400,7 @@
 told_done (exchange_t *exchange, run_result_t result, int64_t run_us,
            const server_load_t *load)
 {
-  fleet_done (exchange->entry->parts.fleet, exchange->service, exchange->vm,
+  placement_done (exchange->entry->parts.placement, exchange->service, exchange->vm,
               result,
               result == RUN_OK ? scaled_run_us (exchange, run_us) : run_us,
               load, exchange->entry->parts.loop->now_us);
@@ -494,11 +494,11 @@
 
   exchange->step = STEP_PLACING;
   while (exchange->tried_count < PLACES_MAX
-         && fleet_pick (entry->parts.fleet, exchange->service,
+         && placement_pick (entry->parts.placement, exchange->service,
                         exchange->tried, exchange->tried_count, now_us,
                         &exchange->vm))
     {
-      fleet_sent (entry->parts.fleet, exchange->service, exchange->vm);
+      placement_sent (entry->parts.placement, exchange->service, exchange->vm);
       note_tried (exchange);
       exchange->step = STEP_SENT;
       arm_deadline (exchange);
--- a/src/edge/entry_point.h
+++ b/src/edge/entry_point.h
@@ -12,7 +12,7 @@
 #include "mesh/call_graph.h"
 #include "mesh/call_learner.h"
 #include "mesh/dialect.h"
-#include "mesh/fleet.h"
+#include "mesh/placement.h"
 #include "mesh/quota.h"
 
 typedef struct entry_point_t entry_point_t;
@@ -50,7 +50,7 @@
   const dialect_t *dialect;
   const rng_t *rng;
   event_log_t *log;
-  fleet_t *fleet;
+  placement_t *placement;
   call_graph_t *graph;
   call_learner_t *learner;
   quota_t *quota;
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -52,7 +52,7 @@
   event_log_t log;
   rng_t rng;
   uint64_t incarnation;
-  fleet_t *fleet;
+  placement_t *placement;
   call_graph_t *graph;
   call_learner_t *learner;
   quota_t *quota;
@@ -88,10 +88,10 @@
 /* --- what this sidecar tells the others -------------------------------- */
 
 static void
-own_server (sidecar_t *sidecar, fleet_server_t *server)
+own_server (sidecar_t *sidecar, placement_server_t *server)
 {
   const server_view_t *view = backend_watch_view (sidecar->watch);
-  *server = (fleet_server_t){
+  *server = (placement_server_t){
     .vm = peer_set_vm (sidecar->peers),
     .incarnation = sidecar->incarnation,
     .service = sidecar->settings.service,
@@ -108,9 +108,9 @@
 tell_beliefs (void *ctx)
 {
   sidecar_t *sidecar = ctx;
-  fleet_server_t server;
+  placement_server_t server;
   own_server (sidecar, &server);
-  fleet_put (sidecar->fleet, &server, sidecar->loop.now_us);
+  placement_put (sidecar->placement, &server, sidecar->loop.now_us);
   peer_set_report (sidecar->peers, true);
 }
 
@@ -157,7 +157,7 @@
 make_report (void *ctx, mesh_report *report, bool whole)
 {
   sidecar_t *sidecar = ctx;
-  fleet_server_t server;
+  placement_server_t server;
   own_server (sidecar, &server);
   sidecar->identity = (mesh_identity){
     .service = (char *)server.service,
@@ -185,7 +185,7 @@
                const server_load_t *load)
 {
   const mesh_identity *identity = report->identity;
-  fleet_server_t server = {
+  placement_server_t server = {
     .vm = vm,
     .incarnation = report->incarnation,
     .service = identity->service,
@@ -195,7 +195,7 @@
     .accepting = identity->accepting != 0,
     .load = *load,
   };
-  fleet_put (sidecar->fleet, &server, sidecar->loop.now_us);
+  placement_put (sidecar->placement, &server, sidecar->loop.now_us);
 }
 
 static void
@@ -209,7 +209,7 @@
   if (report->identity != NULL)
     take_identity (sidecar, vm, report, &load);
   else
-    fleet_put_load (sidecar->fleet, vm, &load, sidecar->loop.now_us);
+    placement_put_load (sidecar->placement, vm, &load, sidecar->loop.now_us);
   for (u_int i = 0; i < report->ratios.ratios_len; i++)
     take_ratio (sidecar, &report->ratios.ratios_val[i]);
   for (u_int i = 0; i < report->demands.demands_len; i++)
@@ -233,7 +233,7 @@
   sidecar_t *sidecar = ctx;
   event_log (&sidecar->log, EVENT_LIFE, "peer-lost", "vm=%llx",
              (unsigned long long)peer_vm (peer));
-  fleet_down (sidecar->fleet, peer_vm (peer), sidecar->loop.now_us);
+  placement_down (sidecar->placement, peer_vm (peer), sidecar->loop.now_us);
   quota_silent (sidecar->quota, peer_vm (peer), true);
 }
 
@@ -522,11 +522,11 @@
 on_report_due (struct ev_loop *ev, ev_timer *timer, int events)
 {
   sidecar_t *sidecar = timer->data;
-  fleet_server_t server;
+  placement_server_t server;
   (void)ev;
   (void)events;
   own_server (sidecar, &server);
-  fleet_put (sidecar->fleet, &server, sidecar->loop.now_us);
+  placement_put (sidecar->placement, &server, sidecar->loop.now_us);
   tell_ratios (sidecar);
   bool whole = sidecar->reports % WHOLE_REPORTS == 0;
   sidecar->demand_count = 0;
@@ -641,7 +641,7 @@
   operator_handler_t operators = { on_policy, on_zones, sidecar };
   members_handler_t members = { on_joined, on_left, sidecar };
 
-  sidecar->fleet = fleet_new (settings->zone, &sidecar->rng, loop->now_us);
+  sidecar->placement = placement_new (settings->zone, &sidecar->rng, loop->now_us);
   sidecar->quota = quota_new ();
   sidecar->graph = call_graph_new ();
   sidecar->learner = call_learner_new ();
@@ -660,7 +660,7 @@
     .dialect = dialect,
     .rng = &sidecar->rng,
     .log = &sidecar->log,
-    .fleet = sidecar->fleet,
+    .placement = sidecar->placement,
     .graph = sidecar->graph,
     .learner = sidecar->learner,
     .quota = sidecar->quota,
@@ -750,7 +750,7 @@
   quota_free (sidecar->quota);
   call_learner_free (sidecar->learner);
   call_graph_free (sidecar->graph);
-  fleet_free (sidecar->fleet);
+  placement_free (sidecar->placement);
   event_log_close (&sidecar->log);
   loop_close (&sidecar->loop);
   if (sidecar->rng.ctx != NULL)
--- a/src/mesh/quota.c
+++ b/src/mesh/quota.c
@@ -17,13 +17,18 @@
 /* Part of a rate that goes to all sidecars alike, so that the first requests
    of an account are not refused where none came before.  */
 static const double EVEN_SHARE = 0.15;
-/* Of what the window has left, spent in one period at most: an account beyond
-   its rate is served evenly, not in one go at the window's start.  */
-static const double PERIOD_SHARE = 0.3;
-/* A sidecar whose part is below one request may still spend one, if as much is
-   left as this share of the fleet's number.  What is overdrawn by it counts in
-   the window like all else.  */
-static const double WHOLE_REQUEST_SHARE = 0.25;
+/* Of what the window has left, spent in one period at most, beside what goes
+   out of it.  What the others spend is known one or two periods later; a
+   larger part would be spent twice before that shows.  */
+static const double PERIOD_SHARE = 0.15;
+/* While the fleet's demand in a period is below this part of what the window
+   has left, chance at one sidecar is no reason to refuse: each may spend its
+   own demand and three standard deviations.  */
+static const double CALM_SHARE = 0.12;
+static const double CALM_DEVIATIONS = 3;
+/* Otherwise a sidecar whose part is below one request may still spend one, if
+   the fleet may spend this many for each sidecar.  */
+static const double WHOLE_SHARE = 0.8;
 
 /* Change of demand that is worth telling by itself.  */
 static const double TOLD_CHANGE = 0.1;
@@ -36,6 +41,7 @@
   uint32_t admitted;
   uint32_t since; /* admitted since the last period */
   double demand_per_s;
+  double demand_before;  /* as told before */
   double admitted_per_s; /* averaged */
 } peer_account_t;
 
@@ -48,6 +54,8 @@
   double window[SLOTS]; /* admitted by the whole fleet, by period */
   uint32_t slot;        /* the newest */
   double spent;         /* sum of the window */
+  double usable;        /* part of the limit that the sidecars heard may use */
+  double admitted_per_s; /* here, averaged */
   double allowance; /* of this sidecar until the next period */
   uint32_t arrived;  /* in this period */
   uint32_t admitted; /* since the start */
@@ -55,6 +63,7 @@
   uint32_t admitted_told;
   double demand_per_s;
   double told_per_s;
+  double told_before;
   peer_account_t *peers;
   size_t peer_count;
 } account_t;
@@ -122,7 +131,7 @@
   if (quota->accounts == NULL)
     abort ();
   account = &quota->accounts[quota->count++];
-  *account = (account_t){ .rate_per_s = 0 };
+  *account = (account_t){ .usable = 1 };
   snprintf (account->name, sizeof account->name, "%s", name);
   account->number = quota_number (name);
   return account;
@@ -154,75 +163,127 @@
   return fmax (1, quota->members - silent) / fmax (1, quota->members);
 }
 
-/* Requests a second that the silent sidecars are taken to go on with.  */
+/* What the account may have in one window, at all sidecars.  */
 static double
-silent_rate (const quota_t *quota, const account_t *account)
+window_limit (const account_t *account)
 {
-  double sum = 0;
-  for (size_t i = 0; i < account->peer_count; i++)
-    if (is_silent (quota, account->peers[i].vm))
-      sum += account->peers[i].admitted_per_s;
-  return sum;
+  return account->rate_per_s * QUOTA_WINDOW_US / US_PER_S + account->burst;
 }
 
-static double
-heard_rate (const quota_t *quota, const account_t *account)
+/* Sets what the sidecars that are heard may use together, as of the moment at
+   which some fell silent: what they used, and their part of what nobody did.
+   It stays until the set of silent ones changes, so that neither side of a
+   cut grows into the other's part.  */
+static void
+divide (const quota_t *quota, account_t *account)
 {
-  double sum = 0;
+  double window_s = (double)QUOTA_WINDOW_US / US_PER_S;
+  double limit = window_limit (account);
+  double heard = account->admitted_per_s * window_s;
+  double silent = 0;
+  account->usable = 1;
+  if (quota->silent_count == 0 || limit <= 0)
+    return;
   for (size_t i = 0; i < account->peer_count; i++)
-    if (!is_silent (quota, account->peers[i].vm))
-      sum += account->peers[i].admitted_per_s;
-  return sum;
+    if (is_silent (quota, account->peers[i].vm))
+      silent += account->peers[i].admitted_per_s * window_s;
+    else
+      heard += account->peers[i].admitted_per_s * window_s;
+  if (heard + silent > limit)
+    {
+      account->usable = heard / (heard + silent);
+      return;
+    }
+  double spare = limit - silent - heard;
+  account->usable = (heard + spare * heard_share (quota)) / limit;
 }
 
-/* What the account may have in one window, at all sidecars.  */
-static double
-window_limit (const account_t *account)
+static void
+divide_all (quota_t *quota)
 {
-  return account->rate_per_s * QUOTA_WINDOW_US / US_PER_S + account->burst;
+  for (size_t i = 0; i < quota->count; i++)
+    divide (quota, &quota->accounts[i]);
 }
 
-/* The same for the sidecars that are heard together.  */
-static double
-usable_limit (const quota_t *quota, const account_t *account)
+/* Demand of the sidecars that are heard.  The others know of this one's a
+   period late; of two values the one that gives this sidecar less counts, so
+   that the parts never add up to more than all.  */
+typedef struct demand_view_t
 {
-  double limit = window_limit (account);
-  if (quota->silent_count == 0)
-    return limit;
-  double window_s = (double)QUOTA_WINDOW_US / US_PER_S;
-  double silent = silent_rate (quota, account) * window_s;
-  double heard = heard_rate (quota, account) * window_s;
-  double spare = fmax (0, limit - silent - heard);
-  return fmin (limit, heard + spare * heard_share (quota));
+  double own_per_s;
+  double others_per_s;
+  double all_now_per_s;  /* as last told */
+  double admitted_per_s; /* by the others, averaged */
+} demand_view_t;
+
+static demand_view_t
+demand_view (const quota_t *quota, const account_t *account)
+{
+  demand_view_t view
+      = { fmin (account->told_per_s, account->told_before), 0,
+          account->told_per_s, 0 };
+  for (size_t i = 0; i < account->peer_count; i++)
+    {
+      const peer_account_t *peer = &account->peers[i];
+      if (is_silent (quota, peer->vm))
+        continue;
+      view.others_per_s += fmax (peer->demand_per_s, peer->demand_before);
+      view.all_now_per_s += peer->demand_per_s;
+      view.admitted_per_s += peer->admitted_per_s;
+    }
+  return view;
 }
 
 /* This sidecar's part of what the fleet may spend, 0 to 1.  */
 static double
-own_share (const quota_t *quota, const account_t *account)
+own_share (const quota_t *quota, const demand_view_t *view)
 {
-  double others = 0;
-  for (size_t i = 0; i < account->peer_count; i++)
-    if (!is_silent (quota, account->peers[i].vm))
-      others += account->peers[i].demand_per_s;
   double heard = fmax (1, quota->members - (double)quota->silent_count);
-  double all = account->told_per_s + others;
+  double all = view->own_per_s + view->others_per_s;
   if (all <= 0)
     return 1 / heard;
-  return EVEN_SHARE / heard + (1 - EVEN_SHARE) * account->told_per_s / all;
+  return EVEN_SHARE / heard + (1 - EVEN_SHARE) * view->own_per_s / all;
+}
+
+/* What the window has left for the sidecars that are heard.  */
+static double
+window_room (const account_t *account)
+{
+  return window_limit (account) * account->usable - account->spent;
+}
+
+/* What goes out of the window with the period that begins.  */
+static double
+window_leaving (const account_t *account)
+{
+  return account->window[(account->slot + 1) % SLOTS];
+}
+
+static bool
+is_calm (const account_t *account, double demand)
+{
+  return demand <= window_leaving (account)
+                       + window_room (account) * CALM_SHARE;
 }
 
-/* What this sidecar may admit in the period that begins: its part of what the
-   window has left once the oldest period has gone out of it.  */
+/* What this sidecar may admit in it.  */
 static double
 next_allowance (const quota_t *quota, const account_t *account, double draw)
 {
-  double oldest = account->window[(account->slot + 1) % SLOTS];
-  double room = usable_limit (quota, account) - account->spent + oldest;
-  if (room <= 0)
+  double period_s = (double)QUOTA_PERIOD_US / US_PER_S;
+  demand_view_t view = demand_view (quota, account);
+  /* What the others admit in a period is told after it.  */
+  double room = window_room (account) - view.admitted_per_s * period_s;
+  double fleet
+      = window_leaving (account) + (room > 0 ? room * PERIOD_SHARE : room);
+  if (fleet <= 0)
     return 0;
-  room *= PERIOD_SHARE;
-  double part = room * own_share (quota, account);
-  double whole = room / fmax (1, quota->members * WHOLE_REQUEST_SHARE);
+  double mean = view.all_now_per_s / fmax (1, quota->members);
+  double own = fmax (account->told_per_s, mean) * period_s;
+  double part = fleet * own_share (quota, &view);
+  if (is_calm (account, view.all_now_per_s * period_s))
+    return fmax (part, own + CALM_DEVIATIONS * sqrt (own) + 1);
+  double whole = fleet / fmax (1, quota->members * WHOLE_SHARE);
   return fmax (part, draw < whole ? 1 : 0);
 }
 
@@ -246,6 +307,7 @@
   account->burst = burst;
   if (!had && rate_per_s > 0)
     fill_window (account);
+  divide (quota, account);
   account->allowance = fmin (account->allowance, 1);
 }
 
@@ -289,6 +351,8 @@
 {
   double spent = (int32_t)(account->admitted - account->admitted_before);
   account->admitted_before = account->admitted;
+  account->admitted_per_s
+      = averaged (account->admitted_per_s, spent / period_s, period_s);
   for (size_t i = 0; i < account->peer_count; i++)
     {
       peer_account_t *peer = &account->peers[i];
@@ -329,6 +393,7 @@
           settle (quota, account, period_s);
           account->allowance = next_allowance (quota, account, draw);
         }
+      account->told_before = account->told_per_s;
       if (!tell)
         continue;
       quota_news_t news
@@ -371,6 +436,7 @@
   peer->incarnation = incarnation;
   peer->admitted = news->admitted;
   peer->since += since;
+  peer->demand_before = peer->demand_per_s;
   peer->demand_per_s = news->demand_per_s;
 }
 
@@ -381,7 +447,10 @@
     if (quota->silent[i].vm == vm)
       {
         if (!silent)
-          quota->silent[i] = quota->silent[--quota->silent_count];
+          {
+            quota->silent[i] = quota->silent[--quota->silent_count];
+            divide_all (quota);
+          }
         return;
       }
   if (!silent)
@@ -391,6 +460,7 @@
   if (quota->silent == NULL)
     abort ();
   quota->silent[quota->silent_count++].vm = vm;
+  divide_all (quota);
 }
 
 void
