--- a/src/edge/backend_watch.c
+++ b/src/edge/backend_watch.c
@@ -47,17 +47,17 @@
 log_view (backend_watch_t *watch, const char *event, const char *source)
 {
   const server_view_t *view = &watch->view;
-  event_log (watch->log, EVENT_BELIEF, event,
-             "source=%s server=%s born=%llu sequence=%llu slots=%u well=%d "
-             "leaving=%d gone=%d cold-ms=%lld zone-out=%d",
-             source, view->id, (unsigned long long)view->born_ms,
-             (unsigned long long)view->sequence, view->slots, view->well,
-             view->leaving, view->gone,
-             (long long)(view->cold_until_us > watch->loop->now_us
-                             ? (view->cold_until_us - watch->loop->now_us)
-                                   / US_PER_MS
-                             : 0),
-             watch->zone_out);
+  event_log (
+      watch->log, EVENT_BELIEF, event,
+      "source=%s server=%s born=%llu sequence=%llu slots=%u well=%d "
+      "leaving=%d gone=%d cold-ms=%lld zone-out=%d",
+      source, view->id, (unsigned long long)view->born_ms,
+      (unsigned long long)view->sequence, view->slots, view->well,
+      view->leaving, view->gone,
+      (long long)(view->cold_until_us > watch->loop->now_us
+                      ? (view->cold_until_us - watch->loop->now_us) / US_PER_MS
+                      : 0),
+      watch->zone_out);
 }
 
 static void
@@ -123,8 +123,7 @@
     {
       event_log (watch->log, EVENT_BELIEF, "announcement-unreadable",
                  "at=\"%s\" error=\"%s\"", error.path, error.message);
-      http_respond (http, 400, NULL, 0, error.message,
-                    strlen (error.message));
+      http_respond (http, 400, NULL, 0, error.message, strlen (error.message));
       return;
     }
   take_news (watch, &news);
--- a/src/edge/entry_point.c
+++ b/src/edge/entry_point.c
@@ -15,11 +15,11 @@
   SERVICES_MAX = 64, /* with counts of their own */
   ROUTE_RUNS = 4096, /* routes with a mean of their own, by hash */
   RUN_SCALE_US = 100 * US_PER_MS, /* what a route's mean counts as */
-  MARGIN_US = 20 * US_PER_MS,  /* for an answer to reach its caller in time */
-  TREE_SERVICES = 16, /* that one request may lead to */
+  MARGIN_US = 20 * US_PER_MS, /* for an answer to reach its caller in time */
+  TREE_SERVICES = 16,         /* that one request may lead to */
   PRESSURE_CACHE_US = 50 * US_PER_MS,
-  RESEND_US = 50 * US_PER_MS,  /* between two looks for a way */
-  WINDOW_BYTES = 256 * 1024,   /* of an answer that its caller has not read */
+  RESEND_US = 50 * US_PER_MS, /* between two looks for a way */
+  WINDOW_BYTES = 256 * 1024,  /* of an answer that its caller has not read */
   FIELD_BYTES = 256
 };
 
@@ -31,7 +31,7 @@
   int64_t pressure_us;        /* when the rest was added up */
   const char *pressed; /* the most pressed service that its runs lead to */
   double pressure;
-  double cost;     /* of a run there, as a part of the mean request's */
+  double cost; /* of a run there, as a part of the mean request's */
   double cost_us;
   double *mean_us; /* what a request costs that service, on average */
 } route_state_t;
@@ -85,14 +85,14 @@
   const char *pressed; /* the most pressed service that it leads to */
   double pressure;     /* there */
   double cost;         /* of this request there */
-  uint64_t edition; /* of the policy that it was admitted by */
-  int number;       /* of its route there */
+  uint64_t edition;    /* of the policy that it was admitted by */
+  int number;          /* of its route there */
   char account[NAME_BYTES];
   route_runs_t *runs; /* of its route */
   bool idempotent;
   bool from_backend;
   bool returned; /* its caller was refused before and came back as told */
-  bool charged; /* a token of the account's rate was taken */
+  bool charged;  /* a token of the account's rate was taken */
   uint8_t priority;
   uint8_t route_priority;
   uint32_t attempts_left; /* servers that it may still reach */
@@ -107,14 +107,14 @@
   int64_t sent_us;
   run_t *run;
   peer_call_t *call;
-  size_t untaken;   /* bytes that the other side was not told of yet */
-  cause_t cause;    /* of the last refusal or failure */
+  size_t untaken; /* bytes that the other side was not told of yet */
+  cause_t cause;  /* of the last refusal or failure */
   bool may_have_run;
 };
 
-static const double RUN_WEIGHT = 1.0 / 32; /* of one run in a mean */
+static const double RUN_WEIGHT = 1.0 / 32;  /* of one run in a mean */
 static const double COST_WEIGHT = 1.0 / 64; /* of one request in a mean */
-static const double RUNS_LEAST = 0.05;     /* rarer calls do not count */
+static const double RUNS_LEAST = 0.05;      /* rarer calls do not count */
 
 static const char *const end_names[ENTRY_END_COUNT] = {
 #define ENTRY_END_NAME(id, name) [ENTRY_##id] = (name),
@@ -184,10 +184,11 @@
       }
   if (walk->count == TREE_SERVICES)
     return;
-  walk->costs[walk->count++] = (tree_cost_t){
-    service,
-    placement_pressure (walk->entry->parts.placement, service, walk->now_us), cost_us
-  };
+  walk->costs[walk->count++]
+      = (tree_cost_t){ service,
+                       placement_pressure (walk->entry->parts.placement,
+                                           service, walk->now_us),
+                       cost_us };
 }
 
 static void
@@ -221,8 +222,8 @@
   state->pressure = most->pressure;
   state->pressure_us = now_us;
   double *mean_us = &service_state (entry, most->service)->cost_us;
-  state->cost = *mean_us > 0 && most->cost_us > 0 ? most->cost_us / *mean_us
-                                                  : 1;
+  state->cost
+      = *mean_us > 0 && most->cost_us > 0 ? most->cost_us / *mean_us : 1;
   state->cost_us = most->cost_us;
   state->mean_us = mean_us;
 }
@@ -247,7 +248,7 @@
   if (exchange->edition == entry->edition)
     return tree_state (exchange)->pressure > 0;
   return placement_pressure (entry->parts.placement, exchange->service,
-                         entry->parts.loop->now_us)
+                             entry->parts.loop->now_us)
          > 0;
 }
 
@@ -288,25 +289,22 @@
       count_latency (entry, loop->now_us - exchange->http->begun_us);
       return;
     }
-  event_log (entry->parts.log, EVENT_REQUEST, "request-end",
-             "id=%s end=%s service=%s account=%s priority=%u call=%d "
-             "cause=%s vm=%llx places=%u age-ms=%lld left-ms=%lld "
-             "config=%llu route=%s returned=%d pressed=%s pressure=%.3f "
-             "cost=%.2f",
-             exchange->attempt_id, end_names[end], exchange->service,
-             exchange->account, exchange->priority, exchange->from_backend,
-             exchange->cause < CAUSE_COUNT ? cause_name (exchange->cause)
-                                           : "none",
-             (unsigned long long)exchange->vm, exchange->tried_count,
-             (long long)((loop->now_us - exchange->http->begun_us)
-                         / US_PER_MS),
-             (long long)((exchange->deadline_us - loop->now_us) / US_PER_MS),
-             (unsigned long long)(entry->policy != NULL
-                                      ? entry->policy->version
-                                      : 0),
-             exchange->route, exchange->returned,
-             exchange->pressed != NULL ? exchange->pressed : "none",
-             exchange->pressure, exchange->cost);
+  event_log (
+      entry->parts.log, EVENT_REQUEST, "request-end",
+      "id=%s end=%s service=%s account=%s priority=%u call=%d "
+      "cause=%s vm=%llx places=%u age-ms=%lld left-ms=%lld "
+      "config=%llu route=%s returned=%d pressed=%s pressure=%.3f "
+      "cost=%.2f",
+      exchange->attempt_id, end_names[end], exchange->service,
+      exchange->account, exchange->priority, exchange->from_backend,
+      exchange->cause < CAUSE_COUNT ? cause_name (exchange->cause) : "none",
+      (unsigned long long)exchange->vm, exchange->tried_count,
+      (long long)((loop->now_us - exchange->http->begun_us) / US_PER_MS),
+      (long long)((exchange->deadline_us - loop->now_us) / US_PER_MS),
+      (unsigned long long)(entry->policy != NULL ? entry->policy->version : 0),
+      exchange->route, exchange->returned,
+      exchange->pressed != NULL ? exchange->pressed : "none",
+      exchange->pressure, exchange->cost);
 }
 
 static double
@@ -328,11 +326,11 @@
   if (status == 429 || status == 503)
     {
       int64_t left_us = exchange->deadline_us - entry->parts.loop->now_us;
-      uint32_t retry_ms = admission_retry_ms (left_us, exchange->target_us,
-                                              draw (entry));
-      headers_size = snprintf (headers, sizeof headers,
-                               "Retry-After: %u.%03u\r\n",
-                               retry_ms / MS_PER_S, retry_ms % MS_PER_S);
+      uint32_t retry_ms
+          = admission_retry_ms (left_us, exchange->target_us, draw (entry));
+      headers_size
+          = snprintf (headers, sizeof headers, "Retry-After: %u.%03u\r\n",
+                      retry_ms / MS_PER_S, retry_ms % MS_PER_S);
     }
   int body_size = snprintf (body, sizeof body, "%s\n", end_names[end]);
   if (exchange->charged && status != 502 && status != 504)
@@ -377,8 +375,8 @@
   int64_t now_us = exchange->entry->parts.loop->now_us;
   if (until_us - now_us < US_PER_MS)
     return false;
-  set_timer (exchange, until_us - now_us < RESEND_US ? until_us
-                                                     : now_us + RESEND_US);
+  set_timer (exchange,
+             until_us - now_us < RESEND_US ? until_us : now_us + RESEND_US);
   return true;
 }
 
@@ -400,10 +398,10 @@
 told_done (exchange_t *exchange, run_result_t result, int64_t run_us,
            const server_load_t *load)
 {
-  placement_done (exchange->entry->parts.placement, exchange->service, exchange->vm,
-              result,
-              result == RUN_OK ? scaled_run_us (exchange, run_us) : run_us,
-              load, exchange->entry->parts.loop->now_us);
+  placement_done (exchange->entry->parts.placement, exchange->service,
+                  exchange->vm, result,
+                  result == RUN_OK ? scaled_run_us (exchange, run_us) : run_us,
+                  load, exchange->entry->parts.loop->now_us);
 }
 
 static void on_reply (void *ctx, const call_reply_t *reply, const char *body,
@@ -431,8 +429,8 @@
     .route = exchange->route,
     .incarnation = exchange->incarnation,
     .deadline_us = exchange->deadline_us - MARGIN_US,
-    .wait_us = admission_wait_us (exchange->from_backend,
-                                  exchange->target_us, left_us),
+    .wait_us
+    = admission_wait_us (exchange->from_backend, exchange->target_us, left_us),
     .expected_us = (int64_t)exchange->runs->mean_us,
     .priority = exchange->priority,
     .idempotent = exchange->idempotent,
@@ -449,8 +447,8 @@
   entry_point_t *entry = exchange->entry;
   forward_call_t call = describe (exchange);
   call_sink_t sink = { on_reply, on_body, on_failed, exchange };
-  call_failure_t failure = { .failure = FAILURE_REFUSED,
-                             .cause = CAUSE_NO_PEER };
+  call_failure_t failure
+      = { .failure = FAILURE_REFUSED, .cause = CAUSE_NO_PEER };
 
   exchange->sent_us = entry->parts.loop->now_us;
   if (exchange->vm == peer_set_vm (entry->parts.peers))
@@ -495,8 +493,8 @@
   exchange->step = STEP_PLACING;
   while (exchange->tried_count < PLACES_MAX
          && placement_pick (entry->parts.placement, exchange->service,
-                        exchange->tried, exchange->tried_count, now_us,
-                        &exchange->vm))
+                            exchange->tried, exchange->tried_count, now_us,
+                            &exchange->vm))
     {
       placement_sent (entry->parts.placement, exchange->service, exchange->vm);
       note_tried (exchange);
@@ -898,10 +896,9 @@
   if (timeout_us > *longest_us)
     *longest_us = timeout_us;
   return timeout_us > 0
-         && *longest_us - timeout_us
-                >= (int64_t)admission_retry_ms (timeout_us,
-                                                exchange->target_us, 0)
-                       * US_PER_MS;
+         && *longest_us - timeout_us >= (int64_t)admission_retry_ms (
+                                            timeout_us, exchange->target_us, 0)
+                                            * US_PER_MS;
 }
 
 static void
@@ -976,10 +973,9 @@
     }
   int number = look.host == NULL
                    ? -1
-                   : policy_route (entry->policy,
-                                   field_value (&http->fields, look.host),
-                                   look.host->value_size,
-                                   bytes_data (&http->target));
+                   : policy_route (
+                       entry->policy, field_value (&http->fields, look.host),
+                       look.host->value_size, bytes_data (&http->target));
   if (number < 0)
     {
       finish (exchange, ENTRY_NO_ROUTE, 404);
--- a/src/edge/entry_point.h
+++ b/src/edge/entry_point.h
@@ -56,7 +56,7 @@
   quota_t *quota;
   peer_set_t *peers;
   runner_t *runner;
-  const char *service; /* of the backend server beside this sidecar */
+  const char *service;  /* of the backend server beside this sidecar */
   double retry_reserve; /* second sendings in a window without first ones */
 } entry_parts_t;
 
--- a/src/edge/event_log.c
+++ b/src/edge/event_log.c
@@ -132,8 +132,8 @@
   if (format[0] != '\0')
     line[used++] = ' ';
   va_start (args, format);
-  int rest = vsnprintf (line + used, sizeof line - (size_t)used - 1, format,
-                        args);
+  int rest
+      = vsnprintf (line + used, sizeof line - (size_t)used - 1, format, args);
   va_end (args);
   used += rest;
   if (used > LINE_BYTES - 2)
--- a/src/edge/event_log.h
+++ b/src/edge/event_log.h
@@ -34,8 +34,7 @@
 } event_log_t;
 
 /* Writes to FD, which becomes non-blocking.  */
-void event_log_open (event_log_t *log, loop_t *loop, int fd,
-                     const char *node);
+void event_log_open (event_log_t *log, loop_t *loop, int fd, const char *node);
 
 /* Writes what can be written and stops.  */
 void event_log_close (event_log_t *log);
--- a/src/edge/http_client.c
+++ b/src/edge/http_client.c
@@ -205,8 +205,8 @@
     return -1;
   if (call->skipping)
     return 0;
-  bool sized = !(parser->flags & F_CHUNKED)
-               && parser->content_length != UINT64_MAX;
+  bool sized
+      = !(parser->flags & F_CHUNKED) && parser->content_length != UINT64_MAX;
   bool empty = call->no_body || status == HTTP_STATUS_NO_CONTENT
                || status == HTTP_STATUS_NOT_MODIFIED;
   int64_t length = sized ? (int64_t)parser->content_length : -1;
--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -396,8 +396,7 @@
 head_too_large (const http_connection_t *connection)
 {
   const http_exchange_t *exchange = connection->reading;
-  return bytes_size (&exchange->target)
-             + bytes_size (&exchange->fields.text)
+  return bytes_size (&exchange->target) + bytes_size (&exchange->fields.text)
              + 4UL * exchange->fields.count
          > connection->server->limits.header_bytes;
 }
@@ -459,8 +458,8 @@
   http_connection_t *connection = parser->data;
   http_server_t *server = connection->server;
   http_exchange_t *exchange = connection->reading;
-  bool sized = !(parser->flags & F_CHUNKED)
-               && parser->content_length != UINT64_MAX;
+  bool sized
+      = !(parser->flags & F_CHUNKED) && parser->content_length != UINT64_MAX;
 
   if (!head_is_sound (exchange, parser))
     return fail_parse (connection, 400);
@@ -515,8 +514,7 @@
   server->handler.request (server->handler.ctx, exchange);
   if (connection->dead)
     return -1;
-  if (connection->last_read
-      || connection->waiting >= server->limits.pipelined)
+  if (connection->last_read || connection->waiting >= server->limits.pipelined)
     http_parser_pause (parser, 1);
   return 0;
 }
@@ -654,8 +652,7 @@
 sweep_one (http_connection_t *connection)
 {
   const http_limits_t *limits = &connection->server->limits;
-  int64_t quiet_us
-      = connection->server->loop->now_us - connection->since_us;
+  int64_t quiet_us = connection->server->loop->now_us - connection->since_us;
   http_exchange_t *reading = connection->reading;
 
   if (connection->lingering)
@@ -666,8 +663,7 @@
   else if (reading != NULL)
     {
       bool in_head = reading->method == NULL;
-      int64_t age_us
-          = connection->server->loop->now_us - reading->begun_us;
+      int64_t age_us = connection->server->loop->now_us - reading->begun_us;
       if (in_head ? age_us > limits->header_timeout_us
                   : quiet_us > limits->body_timeout_us)
         refuse_malformed (connection, 408);
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -31,7 +31,8 @@
   /* The caller left before the answer was written.  The exchange is freed on
      return.  */
   void (*gone) (void *ctx, http_exchange_t *exchange);
-  /* The caller has read on: more of the answer may be written.  May be NULL. */
+  /* The caller has read on: more of the answer may be written.  May be NULL.
+   */
   void (*drained) (void *ctx, http_exchange_t *exchange);
   void *ctx; /* borrowed */
 } http_handler_t;
--- a/src/edge/loop.c
+++ b/src/edge/loop.c
@@ -126,8 +126,7 @@
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
   settings_format_addr (addr, text);
-  if (fd >= 0
-      && setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) == 0
+  if (fd >= 0 && setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) == 0
       && bind (fd, (struct sockaddr *)&at, sizeof at) == 0
       && listen (fd, LISTEN_BACKLOG) == 0)
     return fd;
--- a/src/edge/members.c
+++ b/src/edge/members.c
@@ -66,9 +66,8 @@
   for (size_t i = 0; i < members->count; i++)
     if (members->entries[i].vm == vm)
       return &members->entries[i];
-  members->entries
-      = realloc (members->entries,
-                 (members->count + 1) * sizeof *members->entries);
+  members->entries = realloc (members->entries,
+                              (members->count + 1) * sizeof *members->entries);
   if (members->entries == NULL)
     abort ();
   entry_t *entry = &members->entries[members->count++];
@@ -85,8 +84,7 @@
   entry->there = there;
   members->there += there ? 1 : -1;
   settings_format_addr (
-      (endpoint_addr_t){ vm_id_ip (entry->vm), vm_id_port (entry->vm) },
-      text);
+      (endpoint_addr_t){ vm_id_ip (entry->vm), vm_id_port (entry->vm) }, text);
   event_log (members->log, EVENT_BELIEF,
              there ? "member-joined" : "member-left",
              "vm=%s offset=%lld members=%u", text, (long long)entry->offset,
@@ -116,10 +114,10 @@
 static void
 check_own (members_t *members, const keyed_record_t *record)
 {
-  bool same = !members->leaving && record->value != NULL
-              && record->value_size == strlen (members->value)
-              && memcmp (record->value, members->value, record->value_size)
-                     == 0;
+  bool same
+      = !members->leaving && record->value != NULL
+        && record->value_size == strlen (members->value)
+        && memcmp (record->value, members->value, record->value_size) == 0;
   bool gone = members->leaving && record->value == NULL;
   if (!same && !gone && store_is_written (members->store))
     write_own (members);
--- a/src/edge/metrics.c
+++ b/src/edge/metrics.c
@@ -24,8 +24,8 @@
   put (to, "placed_local_total", entry->local);
   put (to, "placed_remote_total", entry->remote);
   for (int i = 0; i < ENTRY_END_COUNT; i++)
-    put_labelled (to, "requests_total", "end",
-                  entry_end_name ((entry_end_t)i), entry->ends[i]);
+    put_labelled (to, "requests_total", "end", entry_end_name ((entry_end_t)i),
+                  entry->ends[i]);
   for (int i = 0; i < CAUSE_COUNT; i++)
     if (entry->retries[i] > 0)
       put_labelled (to, "retries_total", "cause", cause_name ((cause_t)i),
@@ -50,8 +50,8 @@
   put (to, "backend_connections_opened_total", runner->connections.opened);
   for (int i = 0; i < CAUSE_COUNT; i++)
     if (runner->faults[i] > 0)
-      put_labelled (to, "runs_refused_total", "cause",
-                    cause_name ((cause_t)i), runner->faults[i]);
+      put_labelled (to, "runs_refused_total", "cause", cause_name ((cause_t)i),
+                    runner->faults[i]);
   put (to, "backend_running", load->running);
   put (to, "backend_queued", load->queued);
   put (to, "backend_window", load->window);
@@ -65,8 +65,7 @@
   if (getrusage (RUSAGE_SELF, &usage) == 0)
     {
       put (to, "cpu_us_total",
-           (uint64_t)(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec)
-                   * US_PER_S
+           (uint64_t)(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) * US_PER_S
                + (uint64_t)(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec));
       put (to, "memory_peak_kb", (uint64_t)usage.ru_maxrss);
     }
--- a/src/edge/operator_feed.c
+++ b/src/edge/operator_feed.c
@@ -93,8 +93,7 @@
 }
 
 static void
-set_zone (operator_feed_t *feed, zone_record_t *zone, bool out,
-          int64_t offset)
+set_zone (operator_feed_t *feed, zone_record_t *zone, bool out, int64_t offset)
 {
   bool changed = zone->out != out;
   zone->out = out;
@@ -210,7 +209,7 @@
   for (uint32_t i = 0; i < state->zone_count; i++)
     zone_find_or_add (feed, state->zones_out[i]);
   for (uint32_t i = 0; i < feed->zone_count; i++)
-    set_zone (feed, &feed->zones[i],
-              names_zone (state, feed->zones[i].name), state->offset - 1);
+    set_zone (feed, &feed->zones[i], names_zone (state, feed->zones[i].name),
+              state->offset - 1);
   feed->offset = state->offset;
 }
--- a/src/edge/operator_feed.h
+++ b/src/edge/operator_feed.h
@@ -25,8 +25,7 @@
 } operator_handler_t;
 
 /* All are borrowed.  */
-operator_feed_t *operator_feed_new (const dialect_t *dialect,
-                                    event_log_t *log,
+operator_feed_t *operator_feed_new (const dialect_t *dialect, event_log_t *log,
                                     const operator_handler_t *handler);
 void operator_feed_free (operator_feed_t *feed);
 
@@ -35,8 +34,7 @@
 void operator_feed_record (void *feed, const keyed_record_t *record);
 void operator_feed_snapshot_end (void *feed, int64_t end);
 
-bool operator_feed_zone_is_out (const operator_feed_t *feed,
-                                const char *zone);
+bool operator_feed_zone_is_out (const operator_feed_t *feed, const char *zone);
 
 /* NULL before the first configuration.  */
 const policy_t *operator_feed_policy (const operator_feed_t *feed);
--- a/src/edge/peer.c
+++ b/src/edge/peer.c
@@ -89,9 +89,8 @@
     return;
   int fd = loop_connect (vm_addr (peer->vm), LINK_SILENCE_MS);
   peer->dial_us = peers->loop->now_us + peer->backoff_us;
-  peer->backoff_us = peer->backoff_us * 2 < DIAL_MOST_US
-                         ? peer->backoff_us * 2
-                         : DIAL_MOST_US;
+  peer->backoff_us = peer->backoff_us * 2 < DIAL_MOST_US ? peer->backoff_us * 2
+                                                         : DIAL_MOST_US;
   if (fd < 0)
     return;
   peer_link_t *link = link_open (peers, fd, true);
@@ -182,8 +181,8 @@
 }
 
 peer_set_t *
-peer_set_new (loop_t *loop, endpoint_addr_t addr, const peer_handler_t *handler,
-           error_info_t *error)
+peer_set_new (loop_t *loop, endpoint_addr_t addr,
+              const peer_handler_t *handler, error_info_t *error)
 {
   int fd = loop_listen (addr, error);
   if (fd < 0)
--- a/src/edge/peer.h
+++ b/src/edge/peer.h
@@ -45,7 +45,7 @@
 
 /* Listens on ADDR, which names this sidecar.  */
 peer_set_t *peer_set_new (loop_t *loop, endpoint_addr_t addr,
-                    const peer_handler_t *handler, error_info_t *error);
+                          const peer_handler_t *handler, error_info_t *error);
 void peer_set_free (peer_set_t *peers);
 
 /* The address that was bound.  */
--- a/src/edge/peer_link.c
+++ b/src/edge/peer_link.c
@@ -9,8 +9,8 @@
 
 enum
 {
-  READ_BYTES = 64 * 1024, /* taken from a socket in one call */
-  FRAME_HEAD_BYTES = 8,   /* size of what follows, and kind */
+  READ_BYTES = 64 * 1024,       /* taken from a socket in one call */
+  FRAME_HEAD_BYTES = 8,         /* size of what follows, and kind */
   FRAME_MOST = 8 * 1024 * 1024, /* larger ones are malformed */
   REPORT_ROOM = 256 * 1024
 };
--- a/src/edge/peer_stream.c
+++ b/src/edge/peer_stream.c
@@ -116,7 +116,8 @@
       size_t size = call->body_size - at;
       if (size > MESH_PART_MAX)
         size = MESH_PART_MAX;
-      mesh_part part = { stream, at + size == call->body_size,
+      mesh_part part = { stream,
+                         at + size == call->body_size,
                          { (u_int)size, (char *)call->body + at } };
       link_send (link, MESH_CALL_BODY, (xdrproc_t)xdr_mesh_part, &part,
                  FIXED_ROOM + size);
@@ -290,8 +291,7 @@
     .service = told->service,
     .route = told->route,
     .incarnation = told->incarnation,
-    .deadline_us
-    = peers->loop->now_us + (int64_t)told->timeout_ms * US_PER_MS,
+    .deadline_us = peers->loop->now_us + (int64_t)told->timeout_ms * US_PER_MS,
     .wait_us = (int64_t)told->wait_ms * US_PER_MS,
     .expected_us = told->expected_us,
     .priority = (uint8_t)told->priority,
@@ -308,8 +308,7 @@
 {
   mesh_call call;
   memset (&call, 0, sizeof call);
-  bool read = xdr_mesh_call (xdr, &call)
-              && call.priority < PRIORITY_COUNT
+  bool read = xdr_mesh_call (xdr, &call) && call.priority < PRIORITY_COUNT
               && call.body.body_len <= call.body_size
               && slots_get (&link->streams, call.stream) == NULL;
   if (!read)
@@ -374,8 +373,8 @@
       stream_cancel (stream, true);
       return true;
     }
-  stream->unacked -= word.value < stream->unacked ? word.value
-                                                  : stream->unacked;
+  stream->unacked
+      -= word.value < stream->unacked ? word.value : stream->unacked;
   if (stream->started)
     handler->credit (handler->ctx, stream);
   return true;
@@ -420,9 +419,10 @@
   size_t at = 0;
   do
     {
-      size_t piece = size - at < MESH_PART_MAX ? size - at
-                                               : (size_t)MESH_PART_MAX;
-      mesh_part part = { stream->stream, last && at + piece == size,
+      size_t piece
+          = size - at < MESH_PART_MAX ? size - at : (size_t)MESH_PART_MAX;
+      mesh_part part = { stream->stream,
+                         last && at + piece == size,
                          { (u_int)piece, (char *)data + at } };
       link_send (stream->link, MESH_REPLY_BODY, (xdrproc_t)xdr_mesh_part,
                  &part, FIXED_ROOM + piece);
@@ -481,10 +481,9 @@
 {
   size_t zones = document->zones_out.zones_out_len;
   if (peer->link != NULL)
-    link_send (peer->link, MESH_DOCUMENT, (xdrproc_t)xdr_mesh_document,
-               document,
-               FIXED_ROOM + document->text.text_len
-                   + zones * (MESH_NAME_MAX + 8));
+    link_send (
+        peer->link, MESH_DOCUMENT, (xdrproc_t)xdr_mesh_document, document,
+        FIXED_ROOM + document->text.text_len + zones * (MESH_NAME_MAX + 8));
 }
 
 /* --- frames and ends --------------------------------------------------- */
@@ -516,8 +515,8 @@
 static void
 call_lost (peer_link_t *link, peer_call_t *call)
 {
-  call_failure_t failure = { .failure = FAILURE_LOST,
-                             .cause = CAUSE_PEER_LOST };
+  call_failure_t failure
+      = { .failure = FAILURE_LOST, .cause = CAUSE_PEER_LOST };
   if (call->replied)
     failure.failure = FAILURE_BROKEN;
   else if (link->sent_bytes < call->frame_end)
--- a/src/edge/runner.c
+++ b/src/edge/runner.c
@@ -28,7 +28,7 @@
 struct run_t
 {
   runner_t *runner;
-  run_t *next; /* in its bucket */
+  run_t *next;  /* in its bucket */
   run_t *older; /* kept ones, by end */
   run_state_t state;
   intake_entry_t entry;
@@ -261,11 +261,10 @@
           break;
         case REPLY_ATTEMPT_ID:
           look.has_id = true;
-          look.same_id
-              = field->value_size == strlen (run->attempt_id)
-                && memcmp (field_value (fields, field), run->attempt_id,
-                           field->value_size)
-                       == 0;
+          look.same_id = field->value_size == strlen (run->attempt_id)
+                         && memcmp (field_value (fields, field),
+                                    run->attempt_id, field->value_size)
+                                == 0;
           break;
         case REPLY_SERVER_ID:
           field_copy (fields, field, look.server_id, sizeof look.server_id);
@@ -440,11 +439,9 @@
     .server_id = run->server_id,
     .timeout_ms = left_us > US_PER_MS ? (uint32_t)(left_us / US_PER_MS) : 1,
   };
-  http_reply_handler_t handler
-      = { on_head, on_body, on_end, on_fault, run };
+  http_reply_handler_t handler = { on_head, on_body, on_end, on_fault, run };
 
-  bytes_append (&head, bytes_data (&run->request),
-                bytes_size (&run->request));
+  bytes_append (&head, bytes_data (&run->request), bytes_size (&run->request));
   runner->dialect->write_run_fields (&head, &fields);
   bytes_append (&head, "\r\n", 2);
   http_request_t request = {
@@ -494,8 +491,7 @@
 }
 
 static run_t *
-run_new (runner_t *runner, const forward_call_t *call,
-         const call_sink_t *sink)
+run_new (runner_t *runner, const forward_call_t *call, const call_sink_t *sink)
 {
   run_t *run = calloc (1, sizeof *run);
   if (run == NULL)
@@ -650,8 +646,8 @@
       give_slot_back (run, true);
     }
   run->failed = true;
-  run->failure = (call_failure_t){ .failure = FAILURE_LOST,
-                                   .cause = CAUSE_CUT };
+  run->failure
+      = (call_failure_t){ .failure = FAILURE_LOST, .cause = CAUSE_CUT };
   if (run->state == RUN_QUEUED)
     run->failure = (call_failure_t){ .failure = FAILURE_REFUSED,
                                      .cause = CAUSE_NEVER_CAME };
@@ -710,8 +706,7 @@
       if (role == REPLY_SERVER_ID)
         snprintf (probing->probe.id, sizeof probing->probe.id, "%s", text);
       else if (role == REPLY_COLD)
-        probing->probe.cold_us
-            = (int64_t)(strtod (text, NULL) * US_PER_MS);
+        probing->probe.cold_us = (int64_t)(strtod (text, NULL) * US_PER_MS);
       else if (role == REPLY_LOAD)
         sscanf (text, "%*u,%*u,%u", &probing->probe.slots);
     }
--- a/src/edge/runner.h
+++ b/src/edge/runner.h
@@ -69,8 +69,8 @@
 
 /* Sends a health check; the answer comes as a probe.  */
 typedef void (*runner_probed_t) (void *ctx, const server_probe_t *probe);
-void runner_probe (runner_t *runner, const char *path,
-                   runner_probed_t probed, void *ctx);
+void runner_probe (runner_t *runner, const char *path, runner_probed_t probed,
+                   void *ctx);
 
 typedef struct runner_state_t
 {
--- a/src/edge/serve.c
+++ b/src/edge/serve.c
@@ -47,8 +47,8 @@
 void
 serve_call (serve_t *serve, peer_stream_t *stream, const forward_call_t *call)
 {
-  call_failure_t failure = { .failure = FAILURE_REFUSED,
-                             .cause = CAUSE_WRONG_SERVICE };
+  call_failure_t failure
+      = { .failure = FAILURE_REFUSED, .cause = CAUSE_WRONG_SERVICE };
   served_t *served = calloc (1, sizeof *served);
   if (served == NULL)
     abort ();
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -23,8 +23,8 @@
   CENTI = 100,
   PERMILLE = 1000,
   WHOLE_REPORTS = 16, /* one in so many reports tells all, not changes */
-  RATIO_REPORTS = 8, /* one in so many reports tells what calls what */
-  RATIO_LOGGED = 40, /* one in so many is logged with it */
+  RATIO_REPORTS = 8,  /* one in so many reports tells what calls what */
+  RATIO_LOGGED = 40,  /* one in so many is logged with it */
   /* A caller's machine misses two readiness checks, a second apart, before
      it sends elsewhere.  */
   READY_NOTICE_US = 2300 * US_PER_MS,
@@ -136,9 +136,9 @@
 static void
 take_ratio (sidecar_t *sidecar, const mesh_ratio *ratio)
 {
-  call_edge_t edge = { ratio->caller, ratio->callee,
-                       (double)ratio->permille / PERMILLE,
-                       ratio->callee_run_us };
+  call_edge_t edge
+      = { ratio->caller, ratio->callee, (double)ratio->permille / PERMILLE,
+          ratio->callee_run_us };
   call_graph_put (sidecar->graph, &edge, sidecar->loop.now_us);
 }
 
@@ -203,9 +203,8 @@
 {
   sidecar_t *sidecar = ctx;
   vm_id_t vm = peer_vm (peer);
-  server_load_t load
-      = { report->load.running, report->load.queued, report->load.window,
-          report->load.pressure_permille };
+  server_load_t load = { report->load.running, report->load.queued,
+                         report->load.window, report->load.pressure_permille };
   if (report->identity != NULL)
     take_identity (sidecar, vm, report, &load);
   else
@@ -215,15 +214,14 @@
   for (u_int i = 0; i < report->demands.demands_len; i++)
     {
       const mesh_demand *demand = &report->demands.demands_val[i];
-      quota_news_t news = { demand->account,
-                            (double)demand->centi_per_s / CENTI,
-                            demand->admitted };
+      quota_news_t news
+          = { demand->account, (double)demand->centi_per_s / CENTI,
+              demand->admitted };
       quota_heard (sidecar->quota, vm, report->incarnation, &news);
     }
   quota_silent (sidecar->quota, vm, false);
   if (report->config_version > operator_feed_version (sidecar->operators)
-      || report->operator_offset
-             > operator_feed_offset (sidecar->operators))
+      || report->operator_offset > operator_feed_offset (sidecar->operators))
     peer_want_document (peer);
 }
 
@@ -286,8 +284,7 @@
   for (u_int i = 0; i < document->zones_out.zones_out_len
                     && state.zone_count < ZONES_OUT_MAX;
        i++)
-    state.zones_out[state.zone_count++]
-        = document->zones_out.zones_out_val[i];
+    state.zones_out[state.zone_count++] = document->zones_out.zones_out_val[i];
   operator_feed_merge (sidecar->operators, &state);
 }
 
@@ -328,8 +325,8 @@
                      policy->accounts[i].rate_per_s,
                      policy->accounts[i].burst);
   int service = policy_service (policy, sidecar->settings.service);
-  backend_watch_set_service (
-      sidecar->watch, service >= 0 ? &policy->services[service] : NULL);
+  backend_watch_set_service (sidecar->watch,
+                             service >= 0 ? &policy->services[service] : NULL);
   beliefs_changed (sidecar);
 }
 
@@ -338,8 +335,8 @@
 {
   sidecar_t *sidecar = ctx;
   backend_watch_set_zone_out (
-      sidecar->watch, operator_feed_zone_is_out (sidecar->operators,
-                                                 sidecar->settings.zone));
+      sidecar->watch,
+      operator_feed_zone_is_out (sidecar->operators, sidecar->settings.zone));
 }
 
 /* --- the fleet --------------------------------------------------------- */
@@ -401,9 +398,9 @@
 on_ready (void *ctx, http_exchange_t *http)
 {
   sidecar_t *sidecar = ctx;
-  bool known = strcmp (bytes_data (&http->target),
-                       sidecar->dialect->ready_target)
-               == 0;
+  bool known
+      = strcmp (bytes_data (&http->target), sidecar->dialect->ready_target)
+        == 0;
   int status = !known ? 404 : is_ready (sidecar) ? 200 : 503;
   http_respond (http, status, NULL, 0, NULL, 0);
 }
@@ -462,8 +459,8 @@
   int64_t age_us = sidecar->loop.now_us - sidecar->stop_us;
   int64_t most_us
       = (int64_t)(sidecar->settings.stop_s * US_PER_S) - LAST_ANSWERS_US;
-  uint32_t open = entry_state (sidecar->entry).open
-                  + runner_open (sidecar->runner);
+  uint32_t open
+      = entry_state (sidecar->entry).open + runner_open (sidecar->runner);
   if (sidecar->phase == PHASE_NOTICE && age_us >= READY_NOTICE_US)
     {
       sidecar->phase = PHASE_DRAINING;
@@ -546,8 +543,7 @@
   sidecar->phase = PHASE_NOTICE;
   sidecar->stop_us = sidecar->loop.now_us;
   event_log (&sidecar->log, EVENT_LIFE, "stopping", "open=%u runs=%u",
-             entry_state (sidecar->entry).open,
-             runner_open (sidecar->runner));
+             entry_state (sidecar->entry).open, runner_open (sidecar->runner));
   members_leave (sidecar->members);
   beliefs_changed (sidecar);
 }
@@ -597,12 +593,12 @@
   http_handler_t ready = { on_ready, on_small_gone, NULL, sidecar };
   http_handler_t metrics = { on_metrics, on_small_gone, NULL, sidecar };
 
-  sidecar->callers = http_server_new (loop, settings->callers, &limits,
-                                      &callers, error);
-  sidecar->announce = http_server_new (loop, settings->announce,
-                                       &small_limits, &announce, error);
-  sidecar->ready = http_server_new (loop, settings->ready, &small_limits,
-                                    &ready, error);
+  sidecar->callers
+      = http_server_new (loop, settings->callers, &limits, &callers, error);
+  sidecar->announce = http_server_new (loop, settings->announce, &small_limits,
+                                       &announce, error);
+  sidecar->ready
+      = http_server_new (loop, settings->ready, &small_limits, &ready, error);
   sidecar->metrics = http_server_new (loop, settings->metrics, &small_limits,
                                       &metrics, error);
   return sidecar->callers != NULL && sidecar->announce != NULL
@@ -641,7 +637,8 @@
   operator_handler_t operators = { on_policy, on_zones, sidecar };
   members_handler_t members = { on_joined, on_left, sidecar };
 
-  sidecar->placement = placement_new (settings->zone, &sidecar->rng, loop->now_us);
+  sidecar->placement
+      = placement_new (settings->zone, &sidecar->rng, loop->now_us);
   sidecar->quota = quota_new ();
   sidecar->graph = call_graph_new ();
   sidecar->learner = call_learner_new ();
@@ -670,8 +667,7 @@
     .retry_reserve = settings->retry_reserve,
   };
   sidecar->entry = entry_new (&entry);
-  sidecar->operators
-      = operator_feed_new (dialect, &sidecar->log, &operators);
+  sidecar->operators = operator_feed_new (dialect, &sidecar->log, &operators);
   sidecar->store = store_new (loop, dialect, settings->store, &sidecar->rng,
                               &sidecar->log);
   sidecar->members = members_new (
--- a/src/edge/sidecar_settings.c
+++ b/src/edge/sidecar_settings.c
@@ -72,8 +72,7 @@
                           "write an address as \"A.B.C.D:PORT\"");
       return true;
     default:
-      if (!json_is_number (value) || number < row->least
-          || number > row->most)
+      if (!json_is_number (value) || number < row->least || number > row->most)
         return error_set (error, ERROR_SETTINGS, row->name,
                           "write a number from %g to %g", row->least,
                           row->most);
@@ -94,8 +93,7 @@
   if (value != NULL && !json_is_null (value))
     return read_value (row, value, to, error);
   if (row->required)
-    return error_set (error, ERROR_SETTINGS, row->name,
-                      "is missing; add it");
+    return error_set (error, ERROR_SETTINGS, row->name, "is missing; add it");
   if (row->kind == KIND_COUNT)
     *(uint32_t *)to = (uint32_t)row->missing;
   else
@@ -121,11 +119,11 @@
     return error_set (error, ERROR_SETTINGS, NULL,
                       "the settings must be a JSON object");
   json_object_foreach (root, name, value)
-    {
-      if (!is_known (name))
-        return error_set (error, ERROR_SETTINGS, name,
-                          "is no setting; remove it");
-    }
+  {
+    if (!is_known (name))
+      return error_set (error, ERROR_SETTINGS, name,
+                        "is no setting; remove it");
+  }
   for (int i = 0; i < ROW_COUNT; i++)
     if (!read_row (&rows[i], root, settings, error))
       return false;
--- a/src/edge/sidecar_settings.h
+++ b/src/edge/sidecar_settings.h
@@ -9,17 +9,17 @@
 {
   char node[NAME_BYTES];
   char zone[NAME_BYTES];
-  char service[NAME_BYTES];  /* of the backend server beside it */
-  endpoint_addr_t callers;   /* requests begin here */
-  endpoint_addr_t ready;     /* readiness checks */
-  endpoint_addr_t announce;  /* backend servers announce themselves */
-  endpoint_addr_t peer;      /* links from other sidecars */
+  char service[NAME_BYTES]; /* of the backend server beside it */
+  endpoint_addr_t callers;  /* requests begin here */
+  endpoint_addr_t ready;    /* readiness checks */
+  endpoint_addr_t announce; /* backend servers announce themselves */
+  endpoint_addr_t peer;     /* links from other sidecars */
   endpoint_addr_t metrics;
-  endpoint_addr_t backend;   /* the backend server */
+  endpoint_addr_t backend; /* the backend server */
   endpoint_addr_t store;
-  double stop_s;             /* a stop is followed by a kill after this */
-  double retry_reserve;      /* second sendings in a window, by the fleet */
-  uint32_t memory_mb;        /* that the process may use */
+  double stop_s;        /* a stop is followed by a kill after this */
+  double retry_reserve; /* second sendings in a window, by the fleet */
+  uint32_t memory_mb;   /* that the process may use */
 } sidecar_settings_t;
 
 /* Reads and checks the JSON TEXT (unknown field, wrong type, out of range).
--- a/src/edge/store.c
+++ b/src/edge/store.c
@@ -9,7 +9,7 @@
   FOLLOWERS_MAX = 2,
   CONNECT_US = 1000 * US_PER_MS,
   IDLE_US = 5 * US_PER_S,
-  SILENCE_MS = 2000, /* for the store to acknowledge data */
+  SILENCE_MS = 2000,            /* for the store to acknowledge data */
   ANSWER_US = 3000 * US_PER_MS, /* for a call that does not wait */
   WAIT_MS = 28000, /* for new records; the store waits 30 s at most */
   RETRY_FIRST_US = 100 * US_PER_MS,
@@ -81,8 +81,8 @@
   int64_t pause_us = caller->pause_us;
   caller->call = NULL;
   store->state.failures++;
-  caller->pause_us = pause_us * 2 < RETRY_MOST_US ? pause_us * 2
-                                                  : RETRY_MOST_US;
+  caller->pause_us
+      = pause_us * 2 < RETRY_MOST_US ? pause_us * 2 : RETRY_MOST_US;
   loop_timer (store->loop, &caller->timer,
               (int64_t)((double)pause_us * (0.5 + rng_unit (store->rng))));
 }
@@ -120,8 +120,7 @@
   caller->call = NULL;
   ev_timer_stop (store->loop->ev, &caller->timer);
   /* The store refuses, or turns this VM away.  */
-  if (caller->status >= 500 || caller->status == 429
-      || caller->status == 403)
+  if (caller->status >= 500 || caller->status == 429 || caller->status == 403)
     {
       caller_failed (caller, caller->status);
       return;
@@ -173,8 +172,8 @@
 }
 
 static void
-caller_open (caller_t *caller, store_t *store,
-             void (*next) (caller_t *caller), void (*done) (caller_t *caller))
+caller_open (caller_t *caller, store_t *store, void (*next) (caller_t *caller),
+             void (*done) (caller_t *caller))
 {
   caller->store = store;
   caller->next = next;
@@ -252,10 +251,9 @@
 
   if (follower->after[0] == '\0')
     follower->handler.snapshot_begin (follower->handler.ctx);
-  if (!dialect->parse_newest (bytes_data (&caller->body),
-                              bytes_size (&caller->body), &page,
-                              follower->handler.record,
-                              follower->handler.ctx, &error))
+  if (!dialect->parse_newest (
+          bytes_data (&caller->body), bytes_size (&caller->body), &page,
+          follower->handler.record, follower->handler.ctx, &error))
     {
       unreadable (follower, &error);
       return;
@@ -265,8 +263,7 @@
     follower->snapshot_end = page.end;
   if (page.more)
     {
-      snprintf (follower->after, sizeof follower->after, "%s",
-                page.last_key);
+      snprintf (follower->after, sizeof follower->after, "%s", page.last_key);
       read_next (caller);
       return;
     }
--- a/src/edge/store.h
+++ b/src/edge/store.h
@@ -15,8 +15,7 @@
 
 /* All are borrowed.  */
 store_t *store_new (loop_t *loop, const dialect_t *dialect,
-                    endpoint_addr_t addr, const rng_t *rng,
-                    event_log_t *log);
+                    endpoint_addr_t addr, const rng_t *rng, event_log_t *log);
 void store_free (store_t *store);
 
 typedef struct store_handler_t
--- a/src/mesh/admission.c
+++ b/src/mesh/admission.c
@@ -15,9 +15,9 @@
 /* A caller waits at most this part of its remaining time.  */
 static const double RETRY_SHARE_OF_LEFT = 1.0 / 3;
 static const double RETRY_SHARE_OF_TARGET = 0.6;
-static const double WAIT_SHARE = 0.25;       /* of the latency objective */
-static const double PATIENCE_SHARE = 0.125;  /* of the latency objective */
-static const double PATIENCE_OF_CALL = 0.5;  /* of the time left */
+static const double WAIT_SHARE = 0.25;      /* of the latency objective */
+static const double PATIENCE_SHARE = 0.125; /* of the latency objective */
+static const double PATIENCE_OF_CALL = 0.5; /* of the time left */
 
 enum
 {
--- a/src/mesh/call.h
+++ b/src/mesh/call.h
@@ -21,9 +21,9 @@
   size_t fields_size;
   const char *body;
   size_t body_size;
-  const char *account;  /* client account, or "" */
-  const char *caller;   /* service of the VM where the request began */
-  const char *service;  /* that is to run it */
+  const char *account; /* client account, or "" */
+  const char *caller;  /* service of the VM where the request began */
+  const char *service; /* that is to run it */
   const char *route;
   uint64_t incarnation; /* of the daemon that may run it; 0 is any */
   int64_t deadline_us;
--- a/src/mesh/call_graph.c
+++ b/src/mesh/call_graph.c
@@ -9,7 +9,7 @@
 enum
 {
   EDGES_MAX = 256,
-  DEPTH_MAX = 8, /* of a tree of calls */
+  DEPTH_MAX = 8,           /* of a tree of calls */
   FRESH_US = 10 * US_PER_S /* an edge that is not repeated is dropped */
 };
 
@@ -75,8 +75,7 @@
   if (edge == NULL)
     {
       edge = edge_take (graph);
-      *edge = (edge_t){ .ratio = told->ratio,
-                        .run_us = told->callee_run_us };
+      *edge = (edge_t){ .ratio = told->ratio, .run_us = told->callee_run_us };
       snprintf (edge->caller, sizeof edge->caller, "%s", told->caller);
       snprintf (edge->callee, sizeof edge->callee, "%s", told->callee);
     }
--- a/src/mesh/call_graph.h
+++ b/src/mesh/call_graph.h
@@ -16,8 +16,8 @@
 {
   const char *caller;
   const char *callee;
-  double ratio;          /* calls for each run of CALLER */
-  double callee_run_us;  /* mean time that a run of CALLEE takes */
+  double ratio;         /* calls for each run of CALLER */
+  double callee_run_us; /* mean time that a run of CALLEE takes */
 } call_edge_t;
 
 /* What no sidecar repeats fades.  */
--- a/src/mesh/call_learner.c
+++ b/src/mesh/call_learner.c
@@ -32,7 +32,7 @@
 {
   names_t routes; /* of runs */
   names_t callees;
-  double ran[N];      /* in this period */
+  double ran[N]; /* in this period */
   double called[N];
   double xx[N][N];    /* runs by runs */
   double xy[N][N];    /* calls by runs: [callee][route] */
@@ -142,8 +142,8 @@
   uint32_t n = learner->routes.count;
   for (uint32_t i = 0; i < n; i++)
     for (uint32_t j = 0; j < n; j++)
-      learner->xx[i][j] = learner->xx[i][j] * FORGETTING
-                          + learner->ran[i] * learner->ran[j];
+      learner->xx[i][j]
+          = learner->xx[i][j] * FORGETTING + learner->ran[i] * learner->ran[j];
   for (uint32_t c = 0; c < learner->callees.count; c++)
     {
       for (uint32_t i = 0; i < n; i++)
--- a/src/mesh/dialect.h
+++ b/src/mesh/dialect.h
@@ -78,9 +78,9 @@
 /* A page of records or of newest values.  */
 typedef struct keyed_page_t
 {
-  int64_t end;    /* offset behind the last record of the topic */
-  int64_t first;  /* oldest that is left; -1 is "not told" */
-  bool more;      /* newest values: go on behind LAST_KEY */
+  int64_t end;   /* offset behind the last record of the topic */
+  int64_t first; /* oldest that is left; -1 is "not told" */
+  bool more;     /* newest values: go on behind LAST_KEY */
   char last_key[256];
 } keyed_page_t;
 
@@ -93,9 +93,8 @@
 
   /* True when METHOD and TARGET announce a backend server.  */
   bool (*is_news) (const char *method, const char *target);
-  bool (*parse_news) (const char *method, const char *target,
-                      const char *body, size_t size, server_news_t *news,
-                      error_info_t *error);
+  bool (*parse_news) (const char *method, const char *target, const char *body,
+                      size_t size, server_news_t *news, error_info_t *error);
   const char *ready_target; /* path of the readiness check */
 
   /* A new policy, or NULL with *error set.  */
@@ -113,8 +112,7 @@
   void (*write_follow) (bytes_t *to, const char *host, const char *topic,
                         int64_t from, uint32_t wait_ms);
   void (*write_append) (bytes_t *to, bytes_t *body, const char *host,
-                        const char *topic, const char *key,
-                        const char *value);
+                        const char *topic, const char *key, const char *value);
   bool (*parse_newest) (const char *body, size_t size, keyed_page_t *page,
                         keyed_visit_t visit, void *ctx, error_info_t *error);
   bool (*parse_follow) (const char *body, size_t size, int64_t from,
--- a/src/mesh/intake.c
+++ b/src/mesh/intake.c
@@ -23,7 +23,7 @@
    half in that time swing back and forth.  */
 static const double ADMIT_DOWN = 0.06;
 static const double ADMIT_UP = 0.03;
-static const double ADMIT_LEAST = 0.005; /* some always pass, to sense */
+static const double ADMIT_LEAST = 0.005;   /* some always pass, to sense */
 static const double COLD_RATE_SHARE = 1.1; /* of the rate that is borne */
 
 struct intake_t
@@ -101,8 +101,7 @@
 cold_refill (intake_t *intake, int64_t now_us)
 {
   double rate = intake->server.cold_per_s * COLD_RATE_SHARE;
-  intake->cold_tokens
-      += rate * (double)(now_us - intake->cold_us) / US_PER_S;
+  intake->cold_tokens += rate * (double)(now_us - intake->cold_us) / US_PER_S;
   intake->cold_tokens = fmin (intake->cold_tokens, COLD_BURST);
   intake->cold_us = now_us;
 }
@@ -131,8 +130,8 @@
   entry->running = true;
   entry->started_us = now_us;
   intake->running++;
-  INVARIANT (intake->running <= intake->server.slots,
-             "%u run on %u slots", intake->running, intake->server.slots);
+  INVARIANT (intake->running <= intake->server.slots, "%u run on %u slots",
+             intake->running, intake->server.slots);
 }
 
 static intake_entry_t *
@@ -190,8 +189,7 @@
 static int64_t
 wait_us (const intake_t *intake, bool from_backend, int64_t now_us)
 {
-  uint32_t ahead
-      = from_backend ? intake->calls.count : queued (intake);
+  uint32_t ahead = from_backend ? intake->calls.count : queued (intake);
   double ahead_us = (double)intake->calls_work_us;
   if (!from_backend)
     ahead_us += (double)intake->callers_work_us;
@@ -317,8 +315,7 @@
     }
   if (entry->expected_us == 0)
     entry->expected_us = (int64_t)intake->run_us;
-  uint32_t ahead
-      = entry->from_backend ? intake->calls.count : queued (intake);
+  uint32_t ahead = entry->from_backend ? intake->calls.count : queued (intake);
   if (ahead == 0 && has_room (intake, now_us))
     {
       start (intake, entry, now_us);
--- a/src/mesh/placement.c
+++ b/src/mesh/placement.c
@@ -129,8 +129,9 @@
   member_t *member = member_find (placement, vm);
   if (member != NULL)
     return member;
-  placement->members = realloc (placement->members, (placement->member_count + 1)
-                                                * sizeof *placement->members);
+  placement->members
+      = realloc (placement->members,
+                 (placement->member_count + 1) * sizeof *placement->members);
   if (placement->members == NULL)
     abort ();
   member = &placement->members[placement->member_count++];
@@ -153,7 +154,8 @@
 }
 
 void
-placement_put (placement_t *placement, const placement_server_t *server, int64_t now_us)
+placement_put (placement_t *placement, const placement_server_t *server,
+               int64_t now_us)
 {
   member_t *member = member_find_or_add (placement, server->vm);
   uint32_t zone = zone_number (placement, server->zone);
@@ -182,8 +184,8 @@
 }
 
 void
-placement_put_load (placement_t *placement, vm_id_t vm, const server_load_t *load,
-                int64_t now_us)
+placement_put_load (placement_t *placement, vm_id_t vm,
+                    const server_load_t *load, int64_t now_us)
 {
   member_t *member = member_find (placement, vm);
   if (member == NULL)
@@ -215,8 +217,9 @@
 }
 
 bool
-placement_pick (placement_t *placement, const char *name, const vm_id_t *exclude,
-            size_t count, int64_t now_us, vm_id_t *vm)
+placement_pick (placement_t *placement, const char *name,
+                const vm_id_t *exclude, size_t count, int64_t now_us,
+                vm_id_t *vm)
 {
   service_t *service = service_find (placement, name);
   return service != NULL
@@ -233,8 +236,9 @@
 }
 
 void
-placement_done (placement_t *placement, const char *name, vm_id_t vm, run_result_t result,
-            int64_t run_us, const server_load_t *load, int64_t now_us)
+placement_done (placement_t *placement, const char *name, vm_id_t vm,
+                run_result_t result, int64_t run_us, const server_load_t *load,
+                int64_t now_us)
 {
   service_t *service = service_find (placement, name);
   if (service == NULL)
--- a/src/mesh/placement.h
+++ b/src/mesh/placement.h
@@ -13,7 +13,8 @@
 typedef struct placement_t placement_t;
 
 /* ZONE is this sidecar's.  RNG is borrowed.  */
-placement_t *placement_new (const char *zone, const rng_t *rng, int64_t now_us);
+placement_t *placement_new (const char *zone, const rng_t *rng,
+                            int64_t now_us);
 void placement_free (placement_t *placement);
 
 /* The sidecar VM and the backend server beside it.  */
@@ -29,29 +30,33 @@
   server_load_t load;
 } placement_server_t;
 
-void placement_put (placement_t *placement, const placement_server_t *server, int64_t now_us);
+void placement_put (placement_t *placement, const placement_server_t *server,
+                    int64_t now_us);
 
 /* The load of a server that was put before.  */
-void placement_put_load (placement_t *placement, vm_id_t vm, const server_load_t *load,
-                     int64_t now_us);
+void placement_put_load (placement_t *placement, vm_id_t vm,
+                         const server_load_t *load, int64_t now_us);
 
 /* The sidecar cannot be reached, or has left.  */
 void placement_down (placement_t *placement, vm_id_t vm, int64_t now_us);
 void placement_remove (placement_t *placement, vm_id_t vm);
 
 /* A server of SERVICE to send to, not one of EXCLUDE.  False: none.  */
-bool placement_pick (placement_t *placement, const char *service, const vm_id_t *exclude,
-                 size_t count, int64_t now_us, vm_id_t *vm);
+bool placement_pick (placement_t *placement, const char *service,
+                     const vm_id_t *exclude, size_t count, int64_t now_us,
+                     vm_id_t *vm);
 void placement_sent (placement_t *placement, const char *service, vm_id_t vm);
 void placement_done (placement_t *placement, const char *service, vm_id_t vm,
-                 run_result_t result, int64_t run_us,
-                 const server_load_t *load, int64_t now_us);
+                     run_result_t result, int64_t run_us,
+                     const server_load_t *load, int64_t now_us);
 
 /* Servers of SERVICE that accept requests.  */
-uint32_t placement_accepting (const placement_t *placement, const char *service);
+uint32_t placement_accepting (const placement_t *placement,
+                              const char *service);
 
 /* Share of the callers' work for SERVICE that should be refused where it
    begins, by what its backend servers tell.  */
-double placement_pressure (placement_t *placement, const char *service, int64_t now_us);
+double placement_pressure (placement_t *placement, const char *service,
+                           int64_t now_us);
 
 #endif
--- a/src/mesh/policy.c
+++ b/src/mesh/policy.c
@@ -56,8 +56,7 @@
   index->services = name_table_new (policy->service_count + 1);
   index->keys = name_table_new (policy->key_count + 1);
   for (size_t i = 0; i < policy->service_count; i++)
-    if (name_table_add (index->services, policy->services[i].name,
-                        (uint32_t)i)
+    if (name_table_add (index->services, policy->services[i].name, (uint32_t)i)
         != NAME_TABLE_NONE)
       return error_set (error, ERROR_DOCUMENT, policy->services[i].name,
                         "the service stands twice; remove one");
@@ -115,8 +114,7 @@
   const policy_index_t *index = policy->index;
   char name[PATH_BYTES];
   size_t length = 0;
-  while (length < host_size && length + 1 < sizeof name
-         && host[length] != ':')
+  while (length < host_size && length + 1 < sizeof name && host[length] != ':')
     {
       name[length] = (char)tolower ((unsigned char)host[length]);
       length++;
--- a/src/mesh/quota.c
+++ b/src/mesh/quota.c
@@ -55,10 +55,10 @@
   uint32_t slot;        /* the newest */
   double spent;         /* sum of the window */
   double usable;        /* part of the limit that the sidecars heard may use */
-  double admitted_per_s; /* here, averaged */
-  double allowance; /* of this sidecar until the next period */
-  uint32_t arrived;  /* in this period */
-  uint32_t admitted; /* since the start */
+  double admitted_per_s;    /* here, averaged */
+  double allowance;         /* of this sidecar until the next period */
+  uint32_t arrived;         /* in this period */
+  uint32_t admitted;        /* since the start */
   uint32_t admitted_before; /* as of the last period */
   uint32_t admitted_told;
   double demand_per_s;
@@ -219,9 +219,8 @@
 static demand_view_t
 demand_view (const quota_t *quota, const account_t *account)
 {
-  demand_view_t view
-      = { fmin (account->told_per_s, account->told_before), 0,
-          account->told_per_s, 0 };
+  demand_view_t view = { fmin (account->told_per_s, account->told_before), 0,
+                         account->told_per_s, 0 };
   for (size_t i = 0; i < account->peer_count; i++)
     {
       const peer_account_t *peer = &account->peers[i];
@@ -262,8 +261,8 @@
 static bool
 is_calm (const account_t *account, double demand)
 {
-  return demand <= window_leaving (account)
-                       + window_room (account) * CALM_SHARE;
+  return demand
+         <= window_leaving (account) + window_room (account) * CALM_SHARE;
 }
 
 /* What this sidecar may admit in it.  */
@@ -359,9 +358,8 @@
       if (is_silent (quota, peer->vm))
         continue;
       spent += (int32_t)peer->since;
-      peer->admitted_per_s = averaged (peer->admitted_per_s,
-                                       (int32_t)peer->since / period_s,
-                                       period_s);
+      peer->admitted_per_s = averaged (
+          peer->admitted_per_s, (int32_t)peer->since / period_s, period_s);
       peer->since = 0;
     }
   account->slot = (account->slot + 1) % SLOTS;
@@ -380,8 +378,8 @@
   for (size_t i = 0; i < quota->count; i++)
     {
       account_t *account = &quota->accounts[i];
-      account->demand_per_s = averaged (
-          account->demand_per_s, account->arrived / period_s, period_s);
+      account->demand_per_s = averaged (account->demand_per_s,
+                                        account->arrived / period_s, period_s);
       account->arrived = 0;
       double change = fabs (account->demand_per_s - account->told_per_s);
       bool tell = all || account->admitted != account->admitted_told
@@ -410,8 +408,8 @@
   for (size_t i = 0; i < account->peer_count; i++)
     if (account->peers[i].vm == vm)
       return &account->peers[i];
-  account->peers = realloc (
-      account->peers, (account->peer_count + 1) * sizeof *account->peers);
+  account->peers = realloc (account->peers, (account->peer_count + 1)
+                                                * sizeof *account->peers);
   if (account->peers == NULL)
     abort ();
   peer_account_t *peer = &account->peers[account->peer_count++];
@@ -430,7 +428,7 @@
   bool known = peer->incarnation == incarnation;
   /* All that a new process has admitted is news; what an old one admitted
      before it was first heard is not.  */
-  uint32_t since = known ? news->admitted - peer->admitted
+  uint32_t since = known                    ? news->admitted - peer->admitted
                    : peer->incarnation != 0 ? news->admitted
                                             : 0;
   peer->incarnation = incarnation;
@@ -455,8 +453,8 @@
       }
   if (!silent)
     return;
-  quota->silent = realloc (quota->silent, (quota->silent_count + 1)
-                                              * sizeof *quota->silent);
+  quota->silent = realloc (quota->silent,
+                           (quota->silent_count + 1) * sizeof *quota->silent);
   if (quota->silent == NULL)
     abort ();
   quota->silent[quota->silent_count++].vm = vm;
--- a/src/mesh/retry_pool.h
+++ b/src/mesh/retry_pool.h
@@ -14,8 +14,8 @@
 } retry_pool_t;
 
 /* RESERVE is the fleet's allowance for quiet services, SIDECARS share it.  */
-void retry_pool_open (retry_pool_t *pool, const char *service,
-                      double reserve, uint32_t sidecars);
+void retry_pool_open (retry_pool_t *pool, const char *service, double reserve,
+                      uint32_t sidecars);
 
 /* A first sending.  Of a LEAF, which calls no further, more is earned: a
    repeat there repeats nothing else.  */
--- a/src/mesh/server_view.c
+++ b/src/mesh/server_view.c
@@ -71,8 +71,8 @@
   bool anew = !is_same (view, news->id)
               || (view->born_ms > 0 && news->born_ms > view->born_ms);
   bool leaving = news->state == SERVER_LEAVING;
-  bool changed = anew || !view->told || !view->well
-                 || leaving != view->leaving || news->slots != view->slots;
+  bool changed = anew || !view->told || !view->well || leaving != view->leaving
+                 || news->slots != view->slots;
   if (anew)
     begin_incarnation (view, news->id, news->born_ms);
   view->born_ms = news->born_ms;
--- a/src/mesh/server_view.h
+++ b/src/mesh/server_view.h
@@ -55,8 +55,7 @@
 static inline bool
 server_view_is_known (const server_view_t *view)
 {
-  return view->id[0] != '\0' && view->well && !view->gone
-         && view->slots > 0;
+  return view->id[0] != '\0' && view->well && !view->gone && view->slots > 0;
 }
 
 #endif
--- a/tests/mesh_decisions_test.cc
+++ b/tests/mesh_decisions_test.cc
@@ -6,8 +6,8 @@
 #include "mesh/admission.h"
 #include "mesh/call_graph.h"
 #include "mesh/call_learner.h"
-#include "mesh/placement.h"
 #include "mesh/intake.h"
+#include "mesh/placement.h"
 #include "mesh/quota.h"
 #include "mesh/retry_pool.h"
 #include "mesh/server_view.h"
@@ -60,8 +60,7 @@
   { "NearlyAllStillSenses", { 0.995, 1, 3, 3, false }, 0.001, 0.02 },
 };
 
-INSTANTIATE_TEST_SUITE_P (Table, Admission,
-                          testing::ValuesIn (admission_rows),
+INSTANTIATE_TEST_SUITE_P (Table, Admission, testing::ValuesIn (admission_rows),
                           [] (const auto &row) {
                             return std::string (row.param.name);
                           });
@@ -487,8 +486,7 @@
           intake_finished (server.intake, server.started[seen], true,
                            server.now_us);
         }
-      while (!starts.empty ()
-             && starts.front () <= server.now_us - US_PER_S)
+      while (!starts.empty () && starts.front () <= server.now_us - US_PER_S)
         starts.pop_front ();
       most = std::max (most, starts.size ());
     }
@@ -666,22 +664,22 @@
 const NewsRow news_rows[] = {
   { "Next", news ("i", 5, 1), news ("i", 5, 2), NEWS_TAKEN, "i", true },
   { "Late", news ("i", 5, 2), news ("i", 5, 1), NEWS_STALE, "i", true },
-  { "OfADeadIncarnation", news ("j", 9, 1), news ("i", 5, 8), NEWS_STALE,
-    "j", true },
-  { "OfANewIncarnation", news ("i", 5, 8), news ("j", 9, 1), NEWS_CHANGED,
-    "j", true },
+  { "OfADeadIncarnation", news ("j", 9, 1), news ("i", 5, 8), NEWS_STALE, "j",
+    true },
+  { "OfANewIncarnation", news ("i", 5, 8), news ("j", 9, 1), NEWS_CHANGED, "j",
+    true },
   { "SameIdStartedAgain", news ("i", 5, 8), news ("i", 9, 1), NEWS_CHANGED,
     "i", true },
-  { "Leaves", news ("i", 5, 1), news ("i", 5, 2, SERVER_LEAVING),
-    NEWS_CHANGED, "i", true },
-  { "Gone", news ("i", 5, 1), news ("i", 0, 0, SERVER_GONE), NEWS_CHANGED,
-    "i", false },
+  { "Leaves", news ("i", 5, 1), news ("i", 5, 2, SERVER_LEAVING), NEWS_CHANGED,
+    "i", true },
+  { "Gone", news ("i", 5, 1), news ("i", 0, 0, SERVER_GONE), NEWS_CHANGED, "i",
+    false },
   { "AfterItsFarewell", news ("i", 0, 0, SERVER_GONE), news ("i", 0, 7),
     NEWS_STALE, "i", false },
   { "FarewellOfAnother", news ("j", 9, 1), news ("i", 0, 0, SERVER_GONE),
     NEWS_STALE, "j", true },
-  { "OfAnotherService", news ("i", 5, 1),
-    news ("j", 9, 1, SERVER_READY, "t"), NEWS_FOREIGN, "i", true },
+  { "OfAnotherService", news ("i", 5, 1), news ("j", 9, 1, SERVER_READY, "t"),
+    NEWS_FOREIGN, "i", true },
 };
 
 INSTANTIATE_TEST_SUITE_P (Table, News, testing::ValuesIn (news_rows),
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -71,8 +71,7 @@
                 news.id);
 }
 
-INSTANTIATE_TEST_SUITE_P (Table, Heartbeat,
-                          testing::ValuesIn (heartbeat_rows),
+INSTANTIATE_TEST_SUITE_P (Table, Heartbeat, testing::ValuesIn (heartbeat_rows),
                           [] (const auto &row) {
                             return std::string (row.param.name);
                           });
@@ -159,8 +158,7 @@
   policy_t *policy = platform_parse_policy (CONFIG, strlen (CONFIG), &error);
   ASSERT_NE (nullptr, policy);
   const RouteRow &row = GetParam ();
-  int number
-      = policy_route (policy, row.host, strlen (row.host), row.path);
+  int number = policy_route (policy, row.host, strlen (row.host), row.path);
   if (row.route == nullptr)
     {
       EXPECT_EQ (-1, number);
@@ -235,8 +233,8 @@
     text += record->value == nullptr
                 ? "-"
                 : "=" + std::string (record->value, record->value_size);
-    ((Records *)ctx)->seen.push_back (
-        text + "@" + std::to_string (record->offset));
+    ((Records *)ctx)
+        ->seen.push_back (text + "@" + std::to_string (record->offset));
   }
 };
 
@@ -251,9 +249,8 @@
   Records records;
   keyed_page_t page;
   error_info_t error = {};
-  ASSERT_TRUE (platform_parse_follow (answer.data (), answer.size (), 7,
-                                      &page, Records::visit, &records,
-                                      &error));
+  ASSERT_TRUE (platform_parse_follow (answer.data (), answer.size (), 7, &page,
+                                      Records::visit, &records, &error));
   EXPECT_EQ (5, page.first);
   EXPECT_EQ (9, page.end);
   EXPECT_EQ ((std::vector<std::string>{ "k=v1@7", "k-@8" }), records.seen);
@@ -275,8 +272,8 @@
   { "Nothing", EMPTY, true, 0 },
   { "TooShort", std::string (15, '\0'), false, 0 },
   { "EndsInARecord", EMPTY + std::string ("\0\0\0\x09xx", 6), false, 0 },
-  { "KeyLongerThanTheRecord", EMPTY + std::string ("\0\0\0\x02\x09k", 6),
-    true, 0 },
+  { "KeyLongerThanTheRecord", EMPTY + std::string ("\0\0\0\x02\x09k", 6), true,
+    0 },
   { "EmptyRecord", EMPTY + std::string ("\0\0\0\0", 4), true, 0 },
 };
 
@@ -290,9 +287,9 @@
   Records records;
   keyed_page_t page;
   error_info_t error = {};
-  EXPECT_EQ (row.read, platform_parse_follow (
-                           row.answer.data (), row.answer.size (), 0, &page,
-                           Records::visit, &records, &error));
+  EXPECT_EQ (row.read,
+             platform_parse_follow (row.answer.data (), row.answer.size (), 0,
+                                    &page, Records::visit, &records, &error));
   EXPECT_EQ (row.records, records.seen.size ());
 }
 
