--- a/src/edge/peer.c
+++ b/src/edge/peer.c
@@ -145,16 +145,28 @@
     link_close (link);
 }
 
-void
-peer_set_report (peer_set_t *peers, bool whole)
+static void
+report_to (peer_set_t *peers, bool whole, bool far)
 {
   for (peer_link_t *link = peers->links; link != NULL; link = link->next)
-    if (!link->connecting)
+    if (!link->connecting && (far || link->peer == NULL || !link->peer->far))
       link_send_report (link, whole);
 }
 
 void
-peer_set_tick (peer_set_t *peers, bool whole)
+peer_set_report (peer_set_t *peers, bool whole)
+{
+  report_to (peers, whole, true);
+}
+
+void
+peer_set_far (peer_t *peer, bool far)
+{
+  peer->far = far;
+}
+
+void
+peer_set_tick (peer_set_t *peers, bool whole, bool far)
 {
   peer_link_t *next;
   for (peer_link_t *link = peers->links; link != NULL; link = next)
@@ -164,7 +176,7 @@
     }
   for (peer_t *peer = peers->first; peer != NULL; peer = peer->next)
     dial (peer);
-  peer_set_report (peers, whole);
+  report_to (peers, whole, far);
 }
 
 static void
--- a/src/edge/peer.h
+++ b/src/edge/peer.h
@@ -24,9 +24,10 @@
 
 typedef struct peer_handler_t
 {
-  /* Fills a report, WHOLE for a link that has just opened.  The strings and
-     lists are borrowed until the call that asked returns.  */
-  void (*make_report) (void *ctx, mesh_report *report, bool whole);
+  /* Fills a report, WHOLE for a link that has just opened, FAR for a sidecar
+     of another availability zone.  The strings and lists are borrowed until
+     the call that asked returns.  */
+  void (*make_report) (void *ctx, mesh_report *report, bool whole, bool far);
   void (*report) (void *ctx, peer_t *peer, const mesh_report *report);
   /* The last connection to PEER has ended.  */
   void (*down) (void *ctx, peer_t *peer);
@@ -56,9 +57,10 @@
 /* No member any more: it is not dialled again.  */
 void peer_set_remove (peer_set_t *peers, vm_id_t vm);
 
-/* Sends reports, dials what is down, closes what is silent.  Call it every
-   PEER_REPORT_US.  */
-void peer_set_tick (peer_set_t *peers, bool whole);
+/* Sends reports, to those of other availability zones only if FAR; dials what
+   is down, closes what is silent.  Call it every PEER_REPORT_US, with FAR
+   every second time at least.  */
+void peer_set_tick (peer_set_t *peers, bool whole, bool far);
 
 /* Sends a whole report now, since something changed.  */
 void peer_set_report (peer_set_t *peers, bool whole);
@@ -66,6 +68,8 @@
 peer_t *peer_set_find (peer_set_t *peers, vm_id_t vm);
 vm_id_t peer_vm (const peer_t *peer);
 bool peer_is_up (const peer_t *peer);
+/* PEER is of another availability zone.  */
+void peer_set_far (peer_t *peer, bool far);
 uint64_t peer_incarnation (const peer_t *peer); /* 0 before its first report */
 
 typedef void (*peer_visit_t) (void *ctx, peer_t *peer);
--- a/src/edge/peer_link.c
+++ b/src/edge/peer_link.c
@@ -72,12 +72,30 @@
   mesh_report report;
   peer_handler_t *handler = &link->peers->handler;
   memset (&report, 0, sizeof report);
-  handler->make_report (handler->ctx, &report, whole);
-  report.vm = link->peers->own;
+  bool far = link->peer != NULL && link->peer->far;
+  handler->make_report (handler->ctx, &report, whole, far);
+  if (report.identity != NULL)
+    report.identity->vm = link->peers->own;
   link_send (link, MESH_REPORT, (xdrproc_t)xdr_mesh_report, &report,
              REPORT_ROOM);
 }
 
+/* False when another sidecar than before is there.  */
+static bool
+identify (peer_link_t *link, const mesh_identity *identity)
+{
+  bool first = link->heard_us == 0;
+  peer_t *peer = peer_find_or_add (link->peers, identity->vm);
+  if (link->peer != NULL && link->peer != peer)
+    return false;
+  link->peer = peer;
+  link->heard_us = link->peers->loop->now_us;
+  peer->incarnation = identity->incarnation;
+  if (first)
+    peer_relink (peer);
+  return true;
+}
+
 static bool
 report_frame (peer_link_t *link, XDR *xdr)
 {
@@ -86,18 +104,10 @@
   memset (&report, 0, sizeof report);
   if (!xdr_mesh_report (xdr, &report))
     return false;
-  bool first = link->heard_us == 0;
-  peer_t *peer = peer_find_or_add (link->peers, report.vm);
-  bool sound = link->peer == NULL || link->peer == peer;
+  bool sound = report.identity != NULL ? identify (link, report.identity)
+                                       : link->peer != NULL;
   if (sound)
-    {
-      link->peer = peer;
-      link->heard_us = link->peers->loop->now_us;
-      peer->incarnation = report.incarnation;
-      if (first)
-        peer_relink (peer);
-      handler->report (handler->ctx, peer, &report);
-    }
+    handler->report (handler->ctx, link->peer, &report);
   xdr_free ((xdrproc_t)xdr_mesh_report, (char *)&report);
   return sound;
 }
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -22,7 +22,8 @@
   REPORT_LIST_MAX = 128, /* services and accounts in one report */
   CENTI = 100,
   PERMILLE = 1000,
-  WHOLE_REPORTS = 16, /* one in so many reports tells all, not changes */
+  WHOLE_REPORTS = 4, /* one in so many tells all, not changes */
+  FAR_REPORTS = 2,   /* one in so many goes to other availability zones */
   RATIO_REPORTS = 8,  /* one in so many reports tells what calls what */
   RATIO_LOGGED = 40,  /* one in so many is logged with it */
   /* A caller's machine misses two readiness checks, a second apart, before
@@ -43,6 +44,17 @@
   PHASE_DRAINING /* each answer closes its connection */
 } phase_t;
 
+/* Changes that the next reports tell.  */
+typedef struct fleet_tell_t
+{
+  mesh_ratio ratios[REPORT_LIST_MAX];
+  uint32_t ratio_count;
+  mesh_demand near[REPORT_LIST_MAX]; /* to the own availability zone */
+  uint32_t near_count;
+  mesh_demand far[REPORT_LIST_MAX]; /* to the others, less often */
+  uint32_t far_count;
+} fleet_tell_t;
+
 struct sidecar_t
 {
   sidecar_settings_t settings;
@@ -78,11 +90,8 @@
   int64_t stop_us; /* when the stop began */
   int64_t load_logged_us;
   mesh_identity identity; /* what a whole report borrows */
-  mesh_ratio ratios[REPORT_LIST_MAX];
-  uint32_t ratio_count;
+  fleet_tell_t tell;
   uint32_t reports;
-  mesh_demand demands[REPORT_LIST_MAX];
-  uint32_t demand_count;
 };
 
 /* --- what this sidecar tells the others -------------------------------- */
@@ -125,41 +134,59 @@
 add_ratio (void *ctx, const char *caller, const char *callee, double ratio)
 {
   sidecar_t *sidecar = ctx;
-  if (sidecar->ratio_count == REPORT_LIST_MAX)
+  fleet_tell_t *tell = &sidecar->tell;
+  if (tell->ratio_count == REPORT_LIST_MAX)
     return;
-  sidecar->ratios[sidecar->ratio_count++]
+  tell->ratios[tell->ratio_count++]
       = (mesh_ratio){ (char *)caller, (char *)callee,
                       (u_int)(ratio * PERMILLE),
                       (u_int)entry_run_us (sidecar->entry, callee) };
 }
 
+/* Enters a demand, in place of an older word on the same account.  */
 static void
-take_ratio (sidecar_t *sidecar, const mesh_ratio *ratio)
+put_demand (mesh_demand *list, uint32_t *count, const mesh_demand *demand)
 {
-  call_edge_t edge
-      = { ratio->caller, ratio->callee, (double)ratio->permille / PERMILLE,
-          ratio->callee_run_us };
-  call_graph_put (sidecar->graph, &edge, sidecar->loop.now_us);
+  uint32_t at = 0;
+  while (at < *count && list[at].account != demand->account)
+    at++;
+  if (at == REPORT_LIST_MAX)
+    return;
+  list[at] = *demand;
+  *count += at == *count;
 }
 
 static void
 add_demand (void *ctx, const quota_news_t *news)
 {
-  sidecar_t *sidecar = ctx;
-  if (sidecar->demand_count == REPORT_LIST_MAX)
-    return;
-  sidecar->demands[sidecar->demand_count++]
-      = (mesh_demand){ news->account, (u_int)(news->demand_per_s * CENTI),
-                       news->admitted };
+  fleet_tell_t *tell = &((sidecar_t *)ctx)->tell;
+  mesh_demand demand
+      = { news->account, (u_int)(news->demand_per_s * CENTI),
+          news->admitted };
+  put_demand (tell->near, &tell->near_count, &demand);
+  put_demand (tell->far, &tell->far_count, &demand);
 }
 
 static void
-make_report (void *ctx, mesh_report *report, bool whole)
+take_ratio (sidecar_t *sidecar, const mesh_ratio *ratio)
+{
+  call_edge_t edge
+      = { ratio->caller, ratio->callee, (double)ratio->permille / PERMILLE,
+          ratio->callee_run_us };
+  call_graph_put (sidecar->graph, &edge, sidecar->loop.now_us);
+}
+
+static void
+make_report (void *ctx, mesh_report *report, bool whole, bool far)
 {
   sidecar_t *sidecar = ctx;
+  fleet_tell_t *tell = &sidecar->tell;
   placement_server_t server;
   own_server (sidecar, &server);
   sidecar->identity = (mesh_identity){
+    .incarnation = sidecar->incarnation,
+    .config_version = operator_feed_version (sidecar->operators),
+    .operator_offset = operator_feed_offset (sidecar->operators),
     .service = (char *)server.service,
     .zone = (char *)server.zone,
     .server = (char *)server.server_id,
@@ -167,27 +194,24 @@
     .slots = server.slots,
   };
   *report = (mesh_report){
-    .incarnation = sidecar->incarnation,
-    .config_version = operator_feed_version (sidecar->operators),
-    .operator_offset = operator_feed_offset (sidecar->operators),
     .identity = whole ? &sidecar->identity : NULL,
     .load = { server.load.running, server.load.queued, server.load.window,
               server.load.pressure_permille },
-    .ratios = { sidecar->ratio_count, sidecar->ratios },
-    .demands = { sidecar->demand_count, sidecar->demands },
+    .ratios = { tell->ratio_count, tell->ratios },
+    .demands = { far ? tell->far_count : tell->near_count,
+                 far ? tell->far : tell->near },
   };
 }
 
 /* --- what the others tell ---------------------------------------------- */
 
 static void
-take_identity (sidecar_t *sidecar, vm_id_t vm, const mesh_report *report,
-               const server_load_t *load)
+take_identity (sidecar_t *sidecar, peer_t *peer,
+               const mesh_identity *identity, const server_load_t *load)
 {
-  const mesh_identity *identity = report->identity;
   placement_server_t server = {
-    .vm = vm,
-    .incarnation = report->incarnation,
+    .vm = peer_vm (peer),
+    .incarnation = identity->incarnation,
     .service = identity->service,
     .zone = identity->zone,
     .server_id = identity->server,
@@ -196,6 +220,11 @@
     .load = *load,
   };
   placement_put (sidecar->placement, &server, sidecar->loop.now_us);
+  if (identity->config_version > operator_feed_version (sidecar->operators)
+      || identity->operator_offset
+             > operator_feed_offset (sidecar->operators))
+    peer_want_document (peer);
+  peer_set_far (peer, strcmp (identity->zone, sidecar->settings.zone) != 0);
 }
 
 static void
@@ -206,7 +235,7 @@
   server_load_t load = { report->load.running, report->load.queued,
                          report->load.window, report->load.pressure_permille };
   if (report->identity != NULL)
-    take_identity (sidecar, vm, report, &load);
+    take_identity (sidecar, peer, report->identity, &load);
   else
     placement_put_load (sidecar->placement, vm, &load, sidecar->loop.now_us);
   for (u_int i = 0; i < report->ratios.ratios_len; i++)
@@ -217,12 +246,9 @@
       quota_news_t news
           = { demand->account, (double)demand->centi_per_s / CENTI,
               demand->admitted };
-      quota_heard (sidecar->quota, vm, report->incarnation, &news);
+      quota_heard (sidecar->quota, vm, peer_incarnation (peer), &news);
     }
   quota_silent (sidecar->quota, vm, false);
-  if (report->config_version > operator_feed_version (sidecar->operators)
-      || report->operator_offset > operator_feed_offset (sidecar->operators))
-    peer_want_document (peer);
 }
 
 static void
@@ -498,15 +524,15 @@
 static void
 tell_ratios (sidecar_t *sidecar)
 {
+  fleet_tell_t *tell = &sidecar->tell;
   call_learner_tick (sidecar->learner, sidecar->loop.now_us);
-  sidecar->ratio_count = 0;
-  sidecar->reports++;
+  tell->ratio_count = 0;
   if (sidecar->reports % RATIO_REPORTS != 0)
     return;
   call_learner_each (sidecar->learner, add_ratio, sidecar);
-  for (uint32_t i = 0; i < sidecar->ratio_count; i++)
+  for (uint32_t i = 0; i < tell->ratio_count; i++)
     {
-      const mesh_ratio *ratio = &sidecar->ratios[i];
+      const mesh_ratio *ratio = &tell->ratios[i];
       take_ratio (sidecar, ratio);
       if (sidecar->reports % RATIO_LOGGED == 0)
         event_log (&sidecar->log, EVENT_BELIEF, "calls-learnt",
@@ -524,12 +550,16 @@
   (void)events;
   own_server (sidecar, &server);
   placement_put (sidecar->placement, &server, sidecar->loop.now_us);
+  sidecar->reports++;
   tell_ratios (sidecar);
   bool whole = sidecar->reports % WHOLE_REPORTS == 0;
-  sidecar->demand_count = 0;
+  bool far = sidecar->reports % FAR_REPORTS == 0;
+  sidecar->tell.near_count = 0;
   quota_tick (sidecar->quota, sidecar->loop.now_us, rng_unit (&sidecar->rng),
               whole, add_demand, sidecar);
-  peer_set_tick (sidecar->peers, whole);
+  peer_set_tick (sidecar->peers, whole, far);
+  if (far)
+    sidecar->tell.far_count = 0;
 }
 
 static void
--- a/src/mesh/mesh_proto.h
+++ b/src/mesh/mesh_proto.h
@@ -61,6 +61,10 @@
 typedef struct mesh_demand mesh_demand;
 
 struct mesh_identity {
+	u_quad_t vm;
+	u_quad_t incarnation;
+	u_quad_t config_version;
+	quad_t operator_offset;
 	mesh_name service;
 	mesh_name zone;
 	mesh_name server;
@@ -70,10 +74,6 @@
 typedef struct mesh_identity mesh_identity;
 
 struct mesh_report {
-	u_quad_t vm;
-	u_quad_t incarnation;
-	u_quad_t config_version;
-	quad_t operator_offset;
 	mesh_identity *identity;
 	mesh_load load;
 	struct {
--- a/src/mesh/mesh_proto.x
+++ b/src/mesh/mesh_proto.x
@@ -47,6 +47,10 @@
 
 struct mesh_identity
 {
+  unsigned hyper vm;
+  unsigned hyper incarnation;
+  unsigned hyper config_version;
+  hyper operator_offset;
   mesh_name service;
   mesh_name zone;
   mesh_name server;
@@ -56,10 +60,6 @@
 
 struct mesh_report
 {
-  unsigned hyper vm;
-  unsigned hyper incarnation;
-  unsigned hyper config_version;
-  hyper operator_offset;
   mesh_identity *identity;
   mesh_load load;
   mesh_ratio ratios<MESH_LIST_MAX>;
--- a/src/mesh/mesh_proto_xdr.c
+++ b/src/mesh/mesh_proto_xdr.c
@@ -115,6 +115,14 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_u_quad_t (xdrs, &objp->vm))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->operator_offset))
+		 return FALSE;
 	 if (!xdr_mesh_name (xdrs, &objp->service))
 		 return FALSE;
 	 if (!xdr_mesh_name (xdrs, &objp->zone))
@@ -133,14 +141,6 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->vm))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->operator_offset))
-		 return FALSE;
 	 if (!xdr_pointer (xdrs, (char **)&objp->identity, sizeof (mesh_identity), (xdrproc_t) xdr_mesh_identity))
 		 return FALSE;
 	 if (!xdr_mesh_load (xdrs, &objp->load))
--- a/src/mesh/quota.c
+++ b/src/mesh/quota.c
@@ -32,6 +32,7 @@
 
 /* Change of demand that is worth telling by itself.  */
 static const double TOLD_CHANGE = 0.1;
+static const double TOLD_LEAST = 0.5; /* a second */
 static const double DEMAND_LEAST = 0.01; /* a second; less is none */
 
 typedef struct peer_account_t
@@ -383,7 +384,7 @@
       account->arrived = 0;
       double change = fabs (account->demand_per_s - account->told_per_s);
       bool tell = all || account->admitted != account->admitted_told
-                  || change > TOLD_CHANGE * account->told_per_s;
+                  || change > TOLD_LEAST + TOLD_CHANGE * account->told_per_s;
       if (account->demand_per_s < DEMAND_LEAST)
         account->demand_per_s = 0;
       if (account->rate_per_s > 0)
--- a/tests/mesh_edge_test.cc
+++ b/tests/mesh_edge_test.cc
@@ -419,13 +419,13 @@
     identity.accepting = 1;
   }
   static void
-  make_report (void *ctx, mesh_report *report, bool whole)
+  make_report (void *ctx, mesh_report *report, bool whole, bool)
   {
     Sidecar *self = (Sidecar *)ctx;
     self->identity.service = (char *)self->service.c_str ();
     self->identity.zone = (char *)"z";
     self->identity.server = (char *)"i";
-    report->incarnation = self->incarnation;
+    self->identity.incarnation = self->incarnation;
     report->identity = whole ? &self->identity : nullptr;
   }
   static void
@@ -435,7 +435,7 @@
     if (report->identity == nullptr)
       return;
     placement_server_t server = { peer_vm (peer),
-                                  report->incarnation,
+                                  report->identity->incarnation,
                                   report->identity->service,
                                   report->identity->zone,
                                   report->identity->server,
@@ -538,8 +538,8 @@
   wait_for_server ()
   {
     return wait ([&] {
-      peer_set_tick (a->peers, true);
-      peer_set_tick (b->peers, true);
+      peer_set_tick (a->peers, true, true);
+      peer_set_tick (b->peers, true, true);
       return placement_accepting (a->placement, "s") == 1;
     });
   }
@@ -644,7 +644,7 @@
   ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
   /* B falls silent for longer than a link may be.  */
   ASSERT_TRUE (wait ([&] {
-    peer_set_tick (a->peers, true);
+    peer_set_tick (a->peers, true, true);
     return !peer_is_up (peer_set_find (a->peers, peer_set_vm (b->peers)));
   }));
   ASSERT_TRUE (wait_for_server ());
@@ -668,8 +668,8 @@
   b.reset ();
   start_b (202, port);
   ASSERT_TRUE (wait ([&] {
-    peer_set_tick (a->peers, true);
-    peer_set_tick (b->peers, true);
+    peer_set_tick (a->peers, true, true);
+    peer_set_tick (b->peers, true, true);
     return caller.has ("\r\n\r\n");
   }));
   EXPECT_EQ (1u, backend->targets.size ());
@@ -784,7 +784,7 @@
 {
   b->identity.accepting = 0;
   ASSERT_TRUE (wait ([&] {
-    peer_set_tick (b->peers, true);
+    peer_set_tick (b->peers, true, true);
     return placement_accepting (a->placement, "s") == 0;
   }));
   Caller caller (http_server_port (a->callers));
