Leave a zone for load only; tell ratios and demands when they matter

Ruled out: the calls' own bytes. Change: spill over by load, or by more than twice the others' time; ratios every 10 s and only with evidence, all demands every 16 s; a traffic line.

--- a/src/choose_pick.c
+++ b/src/choose_pick.c
@@ -14,9 +14,12 @@
 };
 
 static const double RAMP_FIRST = 0.05;
-static const double ROOM_SHARE = 0.75; /* of capacity; above, a zone spills */
-static const double SPILL_GAIN = 0.1;  /* by which another zone must be less */
-static const double SLOW_MOST = 20;    /* times the others' latency */
+static const double ROOM_SHARE = 0.85; /* of capacity; above, a zone spills */
+/* Servers differ in speed by nature; only one that is slower than this, as a
+   multiple of the others, is left for another zone.  */
+static const double SLOW_BY_NATURE = 2;
+static const double SPILL_GAIN = 0.1; /* by which another zone must be less */
+static const double SLOW_MOST = 20;   /* times the others' latency */
 
 double
 choose_ramp (const choose_t *choose, const server_t *server, int64_t now_us)
@@ -72,7 +75,8 @@
 typedef struct candidate_t
 {
   server_t *server; /* NULL is none */
-  double score;
+  double score;     /* against others of one zone */
+  double strain;    /* against those of another */
 } candidate_t;
 
 typedef struct pick_t
@@ -100,8 +104,9 @@
   used += refusals (server, pick->now_us);
   if (pick->choose->options.no_load)
     used = 0;
-  return (candidate_t){ server,
-                        used * slowness (pick->choose, server, pick->now_us) };
+  double slow = slowness (pick->choose, server, pick->now_us);
+  return (candidate_t){ server, used * slow,
+                        used * fmax (1, slow / SLOW_BY_NATURE) };
 }
 
 /* One server of LIST other than NOT, each with a chance by its ramp.  */
@@ -126,7 +131,7 @@
 static candidate_t
 better_of_two (const pick_t *pick, const server_list_t *list)
 {
-  candidate_t none = { NULL, 0 };
+  candidate_t none = { NULL, 0, 0 };
   server_t *first = sample (pick, list, NULL);
   if (first == NULL)
     return none;
@@ -158,16 +163,16 @@
              size_t count, const rng_t *rng, int64_t now_us, vm_id_t *vm)
 {
   pick_t pick = { choose, exclude, count, rng, now_us };
-  candidate_t best = { NULL, 0 };
+  candidate_t best = { NULL, 0, 0 };
 
   choose_restore_due (choose, now_us);
   if (!choose->options.no_zones && own_zone < CHOOSE_ZONES_MAX)
     best = better_of_two (&pick, &choose->zones[own_zone]);
-  if (best.server == NULL || best.score > ROOM_SHARE)
+  if (best.server == NULL || best.strain > ROOM_SHARE)
     {
       candidate_t other = better_of_two (&pick, &choose->all);
       if (best.server == NULL
-          || (other.server != NULL && other.score < best.score - SPILL_GAIN))
+          || (other.server != NULL && other.strain < best.strain - SPILL_GAIN))
         best = other;
     }
   if (best.server == NULL)
--- a/src/edge/entry_point.c
+++ b/src/edge/entry_point.c
@@ -464,6 +464,7 @@
     {
       peer_t *peer = peer_set_find (entry->parts.peers, exchange->vm);
       entry->state.remote++;
+      entry->state.far += peer != NULL && peer_is_far (peer);
       if (peer != NULL && !call.resume)
         exchange->incarnation = peer_incarnation (peer);
       exchange->call = peer != NULL ? peer_call (peer, &call, &sink) : NULL;
--- a/src/edge/entry_point.h
+++ b/src/edge/entry_point.h
@@ -80,6 +80,7 @@
   uint64_t calls;                /* of the backend server beside */
   uint64_t local;                /* placed on the own VM */
   uint64_t remote;
+  uint64_t far;            /* of those, in another availability zone */
   uint64_t latency_us[24]; /* count by power of two of microseconds */
 } entry_state_t;
 
--- a/src/edge/metrics.c
+++ b/src/edge/metrics.c
@@ -23,6 +23,7 @@
   put (to, "backend_calls_total", entry->calls);
   put (to, "placed_local_total", entry->local);
   put (to, "placed_remote_total", entry->remote);
+  put (to, "placed_far_total", entry->far);
   for (int i = 0; i < ENTRY_END_COUNT; i++)
     put_labelled (to, "requests_total", "end", entry_end_name ((entry_end_t)i),
                   entry->ends[i]);
--- a/src/edge/peer.c
+++ b/src/edge/peer.c
@@ -165,6 +165,12 @@
   peer->far = far;
 }
 
+bool
+peer_is_far (const peer_t *peer)
+{
+  return peer->far;
+}
+
 void
 peer_set_tick (peer_set_t *peers, bool whole, bool far)
 {
--- a/src/edge/peer.h
+++ b/src/edge/peer.h
@@ -70,6 +70,7 @@
 bool peer_is_up (const peer_t *peer);
 /* PEER is of another availability zone.  */
 void peer_set_far (peer_t *peer, bool far);
+bool peer_is_far (const peer_t *peer);
 uint64_t peer_incarnation (const peer_t *peer); /* 0 before its first report */
 
 typedef void (*peer_visit_t) (void *ctx, peer_t *peer);
--- a/src/edge/peer_impl.h
+++ b/src/edge/peer_impl.h
@@ -77,7 +77,7 @@
   uint64_t incarnation;
   peer_link_t *link; /* carries new calls; NULL while down */
   bool member;
-  bool far; /* of another availability zone */
+  bool far;        /* of another availability zone */
   int64_t dial_us; /* when it may be dialled again */
   int64_t backoff_us;
 };
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -22,10 +22,14 @@
   REPORT_LIST_MAX = 128, /* services and accounts in one report */
   CENTI = 100,
   PERMILLE = 1000,
-  WHOLE_REPORTS = 4, /* one in so many tells all, not changes */
-  FAR_REPORTS = 2,   /* one in so many goes to other availability zones */
-  RATIO_REPORTS = 8,  /* one in so many reports tells what calls what */
-  RATIO_LOGGED = 40,  /* one in so many is logged with it */
+  WHOLE_REPORTS = 4,  /* one in so many tells all, not changes */
+  FAR_REPORTS = 2,    /* one in so many goes to other availability zones */
+  RATIO_REPORTS = 40, /* one in so many tells what calls what */
+  RATIO_FIRST = 8,    /* and of the first ones */
+  RATIO_EARLY = 80,
+  DEMAND_REPORTS = 64, /* one in so many tells all demands, not changes */
+  TRAFFIC_LOGGED = 40, /* one in so many logs the traffic */
+  RATIO_LOGGED = 40,   /* one in so many is logged with it */
   /* A caller's machine misses two readiness checks, a second apart, before
      it sends elsewhere.  */
   READY_NOTICE_US = 2300 * US_PER_MS,
@@ -161,8 +165,7 @@
 {
   fleet_tell_t *tell = &((sidecar_t *)ctx)->tell;
   mesh_demand demand
-      = { news->account, (u_int)(news->demand_per_s * CENTI),
-          news->admitted };
+      = { news->account, (u_int)(news->demand_per_s * CENTI), news->admitted };
   put_demand (tell->near, &tell->near_count, &demand);
   put_demand (tell->far, &tell->far_count, &demand);
 }
@@ -206,8 +209,8 @@
 /* --- what the others tell ---------------------------------------------- */
 
 static void
-take_identity (sidecar_t *sidecar, peer_t *peer,
-               const mesh_identity *identity, const server_load_t *load)
+take_identity (sidecar_t *sidecar, peer_t *peer, const mesh_identity *identity,
+               const server_load_t *load)
 {
   placement_server_t server = {
     .vm = peer_vm (peer),
@@ -221,8 +224,7 @@
   };
   placement_put (sidecar->placement, &server, sidecar->loop.now_us);
   if (identity->config_version > operator_feed_version (sidecar->operators)
-      || identity->operator_offset
-             > operator_feed_offset (sidecar->operators))
+      || identity->operator_offset > operator_feed_offset (sidecar->operators))
     peer_want_document (peer);
   peer_set_far (peer, strcmp (identity->zone, sidecar->settings.zone) != 0);
 }
@@ -504,6 +506,21 @@
     }
 }
 
+/* What was sent where since the start, now and then.  */
+static void
+log_traffic (sidecar_t *sidecar)
+{
+  entry_state_t entry = entry_state (sidecar->entry);
+  peer_set_state_t peers = peer_set_state (sidecar->peers);
+  event_log (&sidecar->log, EVENT_LIFE, "traffic",
+             "local=%llu remote=%llu far=%llu frames=%llu bytes=%llu "
+             "peers=%u up=%u",
+             (unsigned long long)entry.local, (unsigned long long)entry.remote,
+             (unsigned long long)entry.far,
+             (unsigned long long)peers.frames_out,
+             (unsigned long long)peers.bytes_out, peers.members, peers.up);
+}
+
 static void
 on_tick (struct ev_loop *ev, ev_timer *timer, int events)
 {
@@ -527,7 +544,9 @@
   fleet_tell_t *tell = &sidecar->tell;
   call_learner_tick (sidecar->learner, sidecar->loop.now_us);
   tell->ratio_count = 0;
-  if (sidecar->reports % RATIO_REPORTS != 0)
+  bool early
+      = sidecar->reports < RATIO_EARLY && sidecar->reports % RATIO_FIRST == 0;
+  if (!early && sidecar->reports % RATIO_REPORTS != 0)
     return;
   call_learner_each (sidecar->learner, add_ratio, sidecar);
   for (uint32_t i = 0; i < tell->ratio_count; i++)
@@ -551,12 +570,14 @@
   own_server (sidecar, &server);
   placement_put (sidecar->placement, &server, sidecar->loop.now_us);
   sidecar->reports++;
+  if (sidecar->reports % TRAFFIC_LOGGED == 0)
+    log_traffic (sidecar);
   tell_ratios (sidecar);
   bool whole = sidecar->reports % WHOLE_REPORTS == 0;
   bool far = sidecar->reports % FAR_REPORTS == 0;
   sidecar->tell.near_count = 0;
   quota_tick (sidecar->quota, sidecar->loop.now_us, rng_unit (&sidecar->rng),
-              whole, add_demand, sidecar);
+              sidecar->reports % DEMAND_REPORTS == 0, add_demand, sidecar);
   peer_set_tick (sidecar->peers, whole, far);
   if (far)
     sidecar->tell.far_count = 0;
--- a/src/mesh/call_graph.c
+++ b/src/mesh/call_graph.c
@@ -10,7 +10,7 @@
 {
   EDGES_MAX = 256,
   DEPTH_MAX = 8,           /* of a tree of calls */
-  FRESH_US = 10 * US_PER_S /* an edge that is not repeated is dropped */
+  FRESH_US = 30 * US_PER_S /* an edge that is not repeated is dropped */
 };
 
 static const double WORD_WEIGHT = 1.0 / 8; /* of one sidecar's word */
--- a/src/mesh/call_learner.c
+++ b/src/mesh/call_learner.c
@@ -21,6 +21,8 @@
 static const double PRIOR = 30;
 /* Ratios below are noise, not calls.  */
 static const double RATIO_LEAST = 0.2;
+/* Squared runs of a route below which nothing is told of it.  */
+static const double EVIDENCE_LEAST = 5;
 
 typedef struct names_t
 {
@@ -174,7 +176,8 @@
 {
   for (uint32_t c = 0; c < learner->callees.count; c++)
     for (uint32_t i = 0; i < learner->routes.count; i++)
-      if (learner->ratio[c][i] >= RATIO_LEAST)
+      if (learner->ratio[c][i] >= RATIO_LEAST
+          && learner->xx[i][i] >= EVIDENCE_LEAST)
         visit (ctx, learner->routes.names[i], learner->callees.names[c],
                learner->ratio[c][i]);
 }
--- a/src/mesh/quota.c
+++ b/src/mesh/quota.c
@@ -32,7 +32,7 @@
 
 /* Change of demand that is worth telling by itself.  */
 static const double TOLD_CHANGE = 0.1;
-static const double TOLD_LEAST = 0.5; /* a second */
+static const double TOLD_LEAST = 0.5;    /* a second */
 static const double DEMAND_LEAST = 0.01; /* a second; less is none */
 
 typedef struct peer_account_t
