--- a/src/edge/entry_point.c
+++ b/src/edge/entry_point.c
@@ -82,9 +82,9 @@
   char attempt_id[ATTEMPT_ID_BYTES];
   char service[NAME_BYTES]; /* that is to run it */
   char route[NAME_BYTES];
-  const char *pressed; /* the most pressed service that it leads to */
-  double pressure;     /* there */
-  double cost;         /* of this request there */
+  char pressed[NAME_BYTES]; /* the most pressed service that it leads to */
+  double pressure;          /* there */
+  double cost;              /* of this request there */
   uint64_t edition;    /* of the policy that it was admitted by */
   int number;          /* of its route there */
   char account[NAME_BYTES];
@@ -303,7 +303,7 @@
       (long long)((exchange->deadline_us - loop->now_us) / US_PER_MS),
       (unsigned long long)(entry->policy != NULL ? entry->policy->version : 0),
       exchange->route, exchange->returned,
-      exchange->pressed != NULL ? exchange->pressed : "none",
+      exchange->pressed[0] != '\0' ? exchange->pressed : "none",
       exchange->pressure, exchange->cost);
 }
 
@@ -869,7 +869,8 @@
   const route_state_t *tree = tree_state (exchange);
   if (tree->cost_us > 0)
     *tree->mean_us += (tree->cost_us - *tree->mean_us) * COST_WEIGHT;
-  exchange->pressed = tree->pressed;
+  snprintf (exchange->pressed, sizeof exchange->pressed, "%s",
+            tree->pressed);
   exchange->pressure = tree->pressure;
   exchange->cost = tree->cost;
   admission_case_t request = {
