Ask another server when an answer is overdue

Ruled out: ejection (a server that answers most requests is not bad enough). Change: an idempotent request without an answer after six mean runs is sent to another server, once, within the budget of repeats and not while the service presses.

--- a/src/edge/entry_point.c
+++ b/src/edge/entry_point.c
@@ -18,6 +18,7 @@
   MARGIN_US = 20 * US_PER_MS, /* for an answer to reach its caller in time */
   TREE_SERVICES = 16,         /* that one request may lead to */
   PRESSURE_CACHE_US = 50 * US_PER_MS,
+  OVERDUE_LEAST_US = 200 * US_PER_MS,
   RESEND_US = 50 * US_PER_MS, /* between two looks for a way */
   WINDOW_BYTES = 256 * 1024,  /* of an answer that its caller has not read */
   FIELD_BYTES = 256
@@ -104,15 +105,18 @@
   uint32_t tried_count;
   vm_id_t vm; /* where it was sent */
   uint64_t incarnation;
-  int64_t sent_us;
   run_t *run;
   peer_call_t *call;
   size_t untaken; /* bytes that the other side was not told of yet */
   cause_t cause;  /* of the last refusal or failure */
   bool may_have_run;
+  bool hedged; /* no other server is tried for an overdue answer */
 };
 
 static const double RUN_WEIGHT = 1.0 / 32;  /* of one run in a mean */
+/* Mean runs after which an answer is overdue; the longest ordinary runs take
+   five.  */
+static const double OVERDUE_RUNS = 6;
 static const double COST_WEIGHT = 1.0 / 64; /* of one request in a mean */
 static const double RUNS_LEAST = 0.05;      /* rarer calls do not count */
 
@@ -362,10 +366,25 @@
   loop_timer (loop, &exchange->timer, until_us - loop->now_us);
 }
 
+/* When an answer is overdue: far beyond what runs of the route take, so that
+   it is most likely lost.  */
+static int64_t
+overdue_us (const exchange_t *exchange)
+{
+  double run_us = exchange->runs->mean_us * OVERDUE_RUNS;
+  return exchange->entry->parts.loop->now_us
+         + (run_us > OVERDUE_LEAST_US ? (int64_t)run_us : OVERDUE_LEAST_US);
+}
+
 static void
 arm_deadline (exchange_t *exchange)
 {
-  set_timer (exchange, exchange->deadline_us - MARGIN_US);
+  int64_t deadline_us = exchange->deadline_us - MARGIN_US;
+  int64_t due_us = overdue_us (exchange);
+  exchange->hedged = !exchange->idempotent || exchange->attempts_left == 0
+                     || exchange->runs->mean_us <= 0
+                     || due_us >= deadline_us;
+  set_timer (exchange, exchange->hedged ? deadline_us : due_us);
 }
 
 /* Looks again soon, but not past UNTIL_US.  False when that has passed.  */
@@ -450,7 +469,6 @@
   call_failure_t failure
       = { .failure = FAILURE_REFUSED, .cause = CAUSE_NO_PEER };
 
-  exchange->sent_us = entry->parts.loop->now_us;
   if (exchange->vm == peer_set_vm (entry->parts.peers))
     {
       entry->state.local++;
@@ -553,6 +571,41 @@
     wait_to_ask (exchange);
 }
 
+static void
+let_go (exchange_t *exchange)
+{
+  if (exchange->run != NULL)
+    run_cancel (exchange->run);
+  if (exchange->call != NULL)
+    peer_call_cancel (exchange->call);
+  exchange->run = NULL;
+  exchange->call = NULL;
+}
+
+/* An answer is overdue: another server is tried, if load is not the reason.
+   True when that is under way, or the wait goes on.  */
+static bool
+try_elsewhere (exchange_t *exchange)
+{
+  if (exchange->step != STEP_SENT || exchange->hedged)
+    return false;
+  exchange->hedged = true;
+  exchange->cause = CAUSE_OVERDUE;
+  bool alone = placement_accepting (exchange->entry->parts.placement,
+                                    exchange->service)
+               < 2;
+  if (alone || is_pressed (exchange) || !may_repeat (exchange))
+    {
+      set_timer (exchange, exchange->deadline_us - MARGIN_US);
+      return true;
+    }
+  let_go (exchange);
+  told_done (exchange, RUN_FAILED, 0, &(server_load_t){ 0 });
+  exchange->may_have_run = true;
+  place (exchange);
+  return true;
+}
+
 static void
 on_timer (struct ev_loop *ev, ev_timer *timer, int events)
 {
@@ -562,6 +615,8 @@
       = exchange->deadline_us - MARGIN_US - entry->parts.loop->now_us;
   (void)ev;
   (void)events;
+  if (left_us > US_PER_MS && try_elsewhere (exchange))
+    return;
   if (exchange->step == STEP_PLACING && left_us > US_PER_MS)
     {
       exchange->tried_count = 0;
@@ -576,14 +631,9 @@
     }
   if (exchange->step == STEP_SENT || exchange->step == STEP_ASKING)
     exchange->may_have_run = true;
-  if (exchange->run != NULL)
-    run_cancel (exchange->run);
-  if (exchange->call != NULL)
-    peer_call_cancel (exchange->call);
+  let_go (exchange);
   if (exchange->step == STEP_SENT)
     told_done (exchange, RUN_CANCELLED, 0, &(server_load_t){ 0 });
-  exchange->run = NULL;
-  exchange->call = NULL;
   if (exchange->step != STEP_ANSWERING)
     {
       finish_unanswered (exchange, ENTRY_DEADLINE);
@@ -1003,10 +1053,7 @@
   (void)ctx;
   if (exchange == NULL)
     return;
-  if (exchange->run != NULL)
-    run_cancel (exchange->run);
-  if (exchange->call != NULL)
-    peer_call_cancel (exchange->call);
+  let_go (exchange);
   if (exchange->step == STEP_SENT)
     told_done (exchange, RUN_CANCELLED, 0, &(server_load_t){ 0 });
   count_end (exchange, ENTRY_GONE);
--- a/src/mesh/call.h
+++ b/src/mesh/call.h
@@ -64,6 +64,7 @@
   CAUSE (SERVER_SHED, "backend-shed")                                         \
   CAUSE (SERVER_CHANGED, "backend-changed")                                   \
   CAUSE (CONNECT, "connect-failed")                                           \
+  CAUSE (OVERDUE, "answer-overdue")                                           \
   CAUSE (CUT, "backend-cut")                                                  \
   CAUSE (GARBLED, "backend-garbled")                                          \
   CAUSE (UNSIGNED, "backend-unsigned")                                        \
