--- a/src/edge/entry_point.c
+++ b/src/edge/entry_point.c
@@ -28,8 +28,7 @@
 typedef struct route_state_t
 {
   split_t split;
-  int64_t longest_timeout_us; /* that callers have told */
-  int64_t pressure_us;        /* when the rest was added up */
+  int64_t pressure_us; /* when the rest was added up */
   const char *pressed; /* the most pressed service that its runs lead to */
   double pressure;
   double cost; /* of a run there, as a part of the mean request's */
@@ -86,14 +85,13 @@
   char pressed[NAME_BYTES]; /* the most pressed service that it leads to */
   double pressure;          /* there */
   double cost;              /* of this request there */
-  uint64_t edition;    /* of the policy that it was admitted by */
-  int number;          /* of its route there */
+  uint64_t edition;         /* of the policy that it was admitted by */
+  int number;               /* of its route there */
   char account[NAME_BYTES];
   route_runs_t *runs; /* of its route */
   bool idempotent;
   bool from_backend;
-  bool returned; /* its caller was refused before and came back as told */
-  bool charged;  /* a token of the account's rate was taken */
+  bool charged; /* a token of the account's rate was taken */
   uint8_t priority;
   uint8_t route_priority;
   uint32_t attempts_left; /* servers that it may still reach */
@@ -113,7 +111,7 @@
   bool hedged; /* no other server is tried for an overdue answer */
 };
 
-static const double RUN_WEIGHT = 1.0 / 32;  /* of one run in a mean */
+static const double RUN_WEIGHT = 1.0 / 32; /* of one run in a mean */
 /* Mean runs after which an answer is overdue; the longest ordinary runs take
    five.  */
 static const double OVERDUE_RUNS = 6;
@@ -297,7 +295,7 @@
       entry->parts.log, EVENT_REQUEST, "request-end",
       "id=%s end=%s service=%s account=%s priority=%u call=%d "
       "cause=%s vm=%llx places=%u age-ms=%lld left-ms=%lld "
-      "config=%llu route=%s returned=%d pressed=%s pressure=%.3f "
+      "config=%llu route=%s pressed=%s pressure=%.3f "
       "cost=%.2f",
       exchange->attempt_id, end_names[end], exchange->service,
       exchange->account, exchange->priority, exchange->from_backend,
@@ -306,7 +304,7 @@
       (long long)((loop->now_us - exchange->http->begun_us) / US_PER_MS),
       (long long)((exchange->deadline_us - loop->now_us) / US_PER_MS),
       (unsigned long long)(entry->policy != NULL ? entry->policy->version : 0),
-      exchange->route, exchange->returned,
+      exchange->route,
       exchange->pressed[0] != '\0' ? exchange->pressed : "none",
       exchange->pressure, exchange->cost);
 }
@@ -382,8 +380,7 @@
   int64_t deadline_us = exchange->deadline_us - MARGIN_US;
   int64_t due_us = overdue_us (exchange);
   exchange->hedged = !exchange->idempotent || exchange->attempts_left == 0
-                     || exchange->runs->mean_us <= 0
-                     || due_us >= deadline_us;
+                     || exchange->runs->mean_us <= 0 || due_us >= deadline_us;
   set_timer (exchange, exchange->hedged ? deadline_us : due_us);
 }
 
@@ -919,8 +916,7 @@
   const route_state_t *tree = tree_state (exchange);
   if (tree->cost_us > 0)
     *tree->mean_us += (tree->cost_us - *tree->mean_us) * COST_WEIGHT;
-  snprintf (exchange->pressed, sizeof exchange->pressed, "%s",
-            tree->pressed);
+  snprintf (exchange->pressed, sizeof exchange->pressed, "%s", tree->pressed);
   exchange->pressure = tree->pressure;
   exchange->cost = tree->cost;
   admission_case_t request = {
@@ -928,7 +924,6 @@
     .cost = tree->cost,
     .priority = exchange->priority,
     .route_priority = exchange->route_priority,
-    .returned = exchange->returned,
   };
   if (request.pressure > 0 && admission_refuses (&request, draw (entry)))
     {
@@ -938,21 +933,6 @@
   return true;
 }
 
-/* A caller that comes back has less time left than callers of its route have
-   at first, by at least the shortest pause that it is told.  */
-static bool
-has_returned (exchange_t *exchange, int64_t timeout_us)
-{
-  int64_t *longest_us
-      = &exchange->entry->routes[exchange->number].longest_timeout_us;
-  if (timeout_us > *longest_us)
-    *longest_us = timeout_us;
-  return timeout_us > 0
-         && *longest_us - timeout_us >= (int64_t)admission_retry_ms (
-                                            timeout_us, exchange->target_us, 0)
-                                            * US_PER_MS;
-}
-
 static void
 set_route (exchange_t *exchange, const policy_route_t *route, int number,
            int64_t timeout_us)
@@ -972,7 +952,6 @@
   exchange->priority = route->priority;
   exchange->route_priority = route->priority;
   exchange->attempts_left = route->attempts - 1;
-  exchange->returned = has_returned (exchange, timeout_us);
   uint32_t part = route->part_count == 1
                       ? 0
                       : split_next (&entry->routes[number].split, route->parts,
--- a/src/mesh/admission.c
+++ b/src/mesh/admission.c
@@ -11,7 +11,6 @@
    all alike while nothing has to be refused.  */
 static const double FIRST_PRIORITY_WEIGHT = 2; /* of the client account's */
 static const double FIRST_ROUTE_WEIGHT = 2;
-static const double RETURNED_WEIGHT = 1.5;
 /* A caller waits at most this part of its remaining time.  */
 static const double RETRY_SHARE_OF_LEFT = 1.0 / 3;
 static const double RETRY_SHARE_OF_TARGET = 0.6;
@@ -33,8 +32,6 @@
     weight *= FIRST_PRIORITY_WEIGHT;
   if (request->route_priority == 0)
     weight *= FIRST_ROUTE_WEIGHT;
-  if (request->returned)
-    weight *= RETURNED_WEIGHT;
   return draw >= pow (1 - request->pressure, cost / weight);
 }
 
--- a/src/mesh/admission.h
+++ b/src/mesh/admission.h
@@ -14,14 +14,12 @@
   double cost;            /* to that service, 1 for the mean request */
   uint8_t priority;       /* by its client account, else by its route */
   uint8_t route_priority; /* decides between requests of one account */
-  bool returned; /* was refused before and came back when it was told to */
 } admission_case_t;
 
 /* Whether to refuse.  Cheap requests are refused less than dear ones, so that
-   more callers are served by the same servers.  The less important go first,
-   but never all of them, so that no client account is shut out; the first
-   priority follows when that is not enough.  A caller that came back as told
-   counts with the first: a second refusal would make its wait worthless.  */
+   more callers are served by the same servers; the less important more than
+   the first priority, but never all of them, so that no client account is
+   shut out.  */
 bool admission_refuses (const admission_case_t *request, double draw);
 
 /* When a refused caller may come back, in milliseconds.  Returns are spread,
