Let those who see any request of a small account take the whole ones

Change: the draw is by the sidecars that see requests; what others admitted and did not tell counts by demand while calm; calm by the mean of the window.

--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -24,6 +24,7 @@
   PERMILLE = 1000,
   WHOLE_REPORTS = 4,  /* one in so many tells all, not changes */
   FAR_REPORTS = 2,    /* one in so many goes to other availability zones */
+  FAR_FLEET = 24,     /* sidecars up to which each does */
   RATIO_REPORTS = 40, /* one in so many tells what calls what */
   RATIO_FIRST = 8,    /* and of the first ones */
   RATIO_EARLY = 80,
@@ -574,7 +575,8 @@
     log_traffic (sidecar);
   tell_ratios (sidecar);
   bool whole = sidecar->reports % WHOLE_REPORTS == 0;
-  bool far = sidecar->reports % FAR_REPORTS == 0;
+  bool far = members_count (sidecar->members) <= FAR_FLEET
+             || sidecar->reports % FAR_REPORTS == 0;
   sidecar->tell.near_count = 0;
   quota_tick (sidecar->quota, sidecar->loop.now_us, rng_unit (&sidecar->rng),
               sidecar->reports % DEMAND_REPORTS == 0, add_demand, sidecar);
--- a/src/mesh/quota.c
+++ b/src/mesh/quota.c
@@ -29,6 +29,9 @@
 /* Otherwise a sidecar whose part is below one request may still spend one, if
    the fleet may spend this many for each sidecar.  */
 static const double WHOLE_SHARE = 0.8;
+/* Sidecars that see a request of the account in a period, as a part of its
+   requests: above one, for the chance that more come than did.  */
+static const double TAKERS_SHARE = 1.6;
 
 /* Change of demand that is worth telling by itself.  */
 static const double TOLD_CHANGE = 0.1;
@@ -58,6 +61,7 @@
   double usable;        /* part of the limit that the sidecars heard may use */
   double admitted_per_s;    /* here, averaged */
   double allowance;         /* of this sidecar until the next period */
+  bool calm;                /* demand was well inside the limit */
   uint32_t arrived;         /* in this period */
   uint32_t admitted;        /* since the start */
   uint32_t admitted_before; /* as of the last period */
@@ -262,28 +266,39 @@
 static bool
 is_calm (const account_t *account, double demand)
 {
-  return demand
-         <= window_leaving (account) + window_room (account) * CALM_SHARE;
+  double leaving = account->spent / SLOTS;
+  return demand <= leaving + window_room (account) * CALM_SHARE;
+}
+
+/* What the others have admitted in the last period and not told yet: all that
+   came while demand was calm, about as much as before otherwise.  */
+static double
+untold (const account_t *account, const demand_view_t *view, double period_s)
+{
+  return (account->calm ? view->others_per_s : view->admitted_per_s)
+         * period_s;
 }
 
 /* What this sidecar may admit in it.  */
 static double
-next_allowance (const quota_t *quota, const account_t *account, double draw)
+next_allowance (const quota_t *quota, account_t *account, double draw)
 {
   double period_s = (double)QUOTA_PERIOD_US / US_PER_S;
   demand_view_t view = demand_view (quota, account);
-  /* What the others admit in a period is told after it.  */
-  double room = window_room (account) - view.admitted_per_s * period_s;
+  double demand = view.all_now_per_s * period_s;
+  double room = window_room (account) - untold (account, &view, period_s);
   double fleet
       = window_leaving (account) + (room > 0 ? room * PERIOD_SHARE : room);
+  account->calm = is_calm (account, demand);
   if (fleet <= 0)
     return 0;
   double mean = view.all_now_per_s / fmax (1, quota->members);
   double own = fmax (account->told_per_s, mean) * period_s;
   double part = fleet * own_share (quota, &view);
-  if (is_calm (account, view.all_now_per_s * period_s))
+  if (account->calm)
     return fmax (part, own + CALM_DEVIATIONS * sqrt (own) + 1);
-  double whole = fleet / fmax (1, quota->members * WHOLE_SHARE);
+  double takers = fmin (quota->members * WHOLE_SHARE, demand * TAKERS_SHARE);
+  double whole = fleet / fmax (1, takers);
   return fmax (part, draw < whole ? 1 : 0);
 }
 
