--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 	@tests/bench_report.sh $(BUILD) $(REPORT_SEEDS)
 
 format:
-	@clang-format -i $$(git ls-files 'src/*.[ch]' 'tests/*.[ch]' 'tests/*.cc' | grep -v _proto)
+	@clang-format -i $$(git ls-files 'src/*.[ch]' 'platform/*.[ch]' 'tests/*.[ch]' 'tests/*.cc' | grep -v _proto)
 
 clean:
 	rm -rf build build-*
--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -637,7 +637,7 @@
 
   for (int i = 0; i < ACCEPTS_A_TURN; i++)
     {
-      struct sockaddr_in from;
+      struct sockaddr_in from = { 0 };
       socklen_t size = sizeof from;
       int fd = accept4 (acceptor->fd, (struct sockaddr *)&from, &size,
                         SOCK_NONBLOCK | SOCK_CLOEXEC);
@@ -697,7 +697,7 @@
   http_server_t *server = calloc (1, sizeof *server);
   if (server == NULL)
     abort ();
-  struct sockaddr_in at;
+  struct sockaddr_in at = { 0 };
   socklen_t size = sizeof at;
   if (getsockname (fd, (struct sockaddr *)&at, &size) == 0)
     server->port = ntohs (at.sin_port);
--- a/src/edge/peer.c
+++ b/src/edge/peer.c
@@ -208,7 +208,7 @@
   peer_set_t *peers = calloc (1, sizeof *peers);
   if (peers == NULL)
     abort ();
-  struct sockaddr_in at;
+  struct sockaddr_in at = { 0 };
   socklen_t size = sizeof at;
   if (getsockname (fd, (struct sockaddr *)&at, &size) == 0)
     addr.port = ntohs (at.sin_port);
--- a/src/edge/runner.c
+++ b/src/edge/runner.c
@@ -792,7 +792,12 @@
   http_client_free (runner->client);
   for (size_t i = 0; i < BUCKETS; i++)
     while (runner->attempts[i] != NULL)
-      run_free (runner->attempts[i]);
+      {
+        run_t *run = runner->attempts[i];
+        runner->attempts[i] = run->next;
+        run->once = false; /* taken out of the table just now */
+        run_free (run);
+      }
   intake_free (runner->intake);
   free (runner);
 }
