--- a/src/edge/entry_point.c
+++ b/src/edge/entry_point.c
@@ -28,8 +28,8 @@
 typedef struct route_state_t
 {
   split_t split;
-  int64_t pressure_us; /* when the rest was added up */
-  const char *pressed; /* the most pressed service that its runs lead to */
+  int64_t pressure_us;      /* when the rest was added up */
+  char pressed[NAME_BYTES]; /* the most pressed service below it */
   double pressure;
   double cost; /* of a run there, as a part of the mean request's */
   double cost_us;
@@ -220,7 +220,7 @@
   for (uint32_t i = 1; i < walk.count; i++)
     if (walk.costs[i].pressure > most->pressure)
       most = &walk.costs[i];
-  state->pressed = most->service;
+  snprintf (state->pressed, sizeof state->pressed, "%s", most->service);
   state->pressure = most->pressure;
   state->pressure_us = now_us;
   double *mean_us = &service_state (entry, most->service)->cost_us;
--- a/tests/mesh_edge_test.cc
+++ b/tests/mesh_edge_test.cc
@@ -150,6 +150,18 @@
   }
 };
 
+std::string
+read_all (int fd)
+{
+  std::string got;
+  char block[4096];
+  ssize_t size;
+  fcntl (fd, F_SETFL, O_NONBLOCK);
+  while ((size = read (fd, block, sizeof block)) > 0)
+    got.append (block, size);
+  return got;
+}
+
 /* A server whose requests a test answers by hand.  */
 struct Server
 {
@@ -361,6 +373,7 @@
   http_server_t *callers = nullptr;
   mesh_identity identity = {};
   int lost = 0;
+  uint32_t pressure_permille = 0;
 
   Sidecar (loop_t *loop, const rng_t *rng, event_log_t *log,
            const char *service, uint16_t backend, uint64_t incarnation,
@@ -427,6 +440,7 @@
     self->identity.server = (char *)"i";
     self->identity.incarnation = self->incarnation;
     report->identity = whole ? &self->identity : nullptr;
+    report->load.pressure_permille = self->pressure_permille;
   }
   static void
   on_report (void *ctx, peer_t *peer, const mesh_report *report)
@@ -434,14 +448,15 @@
     Sidecar *self = (Sidecar *)ctx;
     if (report->identity == nullptr)
       return;
-    placement_server_t server = { peer_vm (peer),
-                                  report->identity->incarnation,
-                                  report->identity->service,
-                                  report->identity->zone,
-                                  report->identity->server,
-                                  report->identity->slots,
-                                  report->identity->accepting != 0,
-                                  {} };
+    placement_server_t server
+        = { peer_vm (peer),
+            report->identity->incarnation,
+            report->identity->service,
+            report->identity->zone,
+            report->identity->server,
+            report->identity->slots,
+            report->identity->accepting != 0,
+            { 0, 0, 10, report->load.pressure_permille } };
     placement_put (self->placement, &server, self->loop->now_us);
   }
   static void
@@ -795,6 +810,34 @@
   EXPECT_EQ (0u, backend->targets.size ());
 }
 
+/* The log names what pressed, also from the memory of an earlier look.  */
+TEST_F (Two, ARefusalUnderPressureNamesThePressedService)
+{
+  b->pressure_permille = 1000;
+  ASSERT_TRUE (wait ([&] {
+    peer_set_tick (b->peers, true, true);
+    return placement_pressure (a->placement, "s", loop.now_us) > 0.99;
+  }));
+  for (int i = 0; i < 3; i++)
+    {
+      Caller caller (http_server_port (a->callers));
+      caller.send ("GET /keyed/1 HTTP/1.1\r\nHost: h\r\nX-Credential: key"
+                   "\r\nX-Attempt-Id: i\r\n\r\n");
+      ASSERT_TRUE (wait ([&] { return caller.has ("\r\n\r\n"); }));
+      EXPECT_EQ (0u, caller.got.find ("HTTP/1.1 503")) << caller.got;
+    }
+  std::string got;
+  size_t named = 0;
+  ASSERT_TRUE (wait ([&] {
+    got += read_all (log_pipe[0]);
+    named = 0;
+    for (size_t at = 0;
+         (at = got.find ("end=overload", at)) != std::string::npos; at++)
+      named += got.find ("pressed=s ", at) < got.find ('\n', at);
+    return named == 3;
+  })) << got;
+}
+
 /* --- operators --------------------------------------------------------- */
 
 struct Feed
@@ -881,18 +924,6 @@
 
 /* --- the log ----------------------------------------------------------- */
 
-std::string
-read_all (int fd)
-{
-  std::string got;
-  char block[4096];
-  ssize_t size;
-  fcntl (fd, F_SETFL, O_NONBLOCK);
-  while ((size = read (fd, block, sizeof block)) > 0)
-    got.append (block, size);
-  return got;
-}
-
 TEST_F (Loop, TheLogDropsByKindAndCounts)
 {
   for (int i = 0; i < 200; i++)
