Test that a lost question proves nothing, so that it fails first

Change: a booking whose VM runs another service after a restart; without the mend its caller hears 503, a promise that it has not run. Conclusion: the check stands beside the older one.

--- a/tests/mesh_edge_test.cc
+++ b/tests/mesh_edge_test.cc
@@ -543,10 +543,10 @@
     Loop::TearDown ();
   }
   void
-  start_b (uint64_t incarnation, uint16_t port)
+  start_b (uint64_t incarnation, uint16_t port, const char *service = "s")
   {
-    b = std::make_unique<Sidecar> (&loop, &rng, &log, "s", backend->port (),
-                                   incarnation, port);
+    b = std::make_unique<Sidecar> (&loop, &rng, &log, service,
+                                   backend->port (), incarnation, port);
     b->set_backend ("i");
   }
   bool
@@ -693,6 +693,24 @@
       << caller.got;
 }
 
+/* A sidecar of another service at the same address proves nothing either.  */
+TEST_F (Two, ABookingWhoseVmNowRunsAnotherServiceIsNotCalledUnrun)
+{
+  Caller caller (http_server_port (a->callers));
+  caller.send (request ("POST", "/book/1", "id-1"));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  uint16_t port = vm_id_port (peer_set_vm (b->peers));
+  b.reset ();
+  ASSERT_TRUE (wait ([&] { return backend->gone == 1; }));
+  start_b (201, port, "t");
+  ASSERT_TRUE (wait ([&] {
+    peer_set_tick (a->peers, true, true);
+    peer_set_tick (b->peers, true, true);
+    return caller.has ("\r\n\r\n");
+  }));
+  EXPECT_EQ (0u, caller.got.find ("HTTP/1.1 504")) << caller.got;
+}
+
 TEST_F (Two, AnotherAttemptWithTheSameIdIsAnsweredFromTheFirst)
 {
   call_failure_t failure = {};
