Ask one sidecar at a time for the operators' state, near ones first

Counted by kind until 30 s: reports 34 MB, documents 13 MB, answers 10 MB, calls 4 MB; after the restart of all, 77 sidecars without a document asked every peer whose report was ahead, so each got it up to 76 times. Ruled out: calls placed in other zones (12% of the calls, 24% of the bytes). A change of the operators' state is reported at once only within the zone; whole reports go every 2 s. Bytes to other zones are counted by purpose (metrics, traffic line).

--- a/src/edge/metrics.c
+++ b/src/edge/metrics.c
@@ -86,6 +86,10 @@
   put (to, "peer_frames_in_total", parts->peers.frames_in);
   put (to, "peer_frames_out_total", parts->peers.frames_out);
   put (to, "peer_bytes_out_total", parts->peers.bytes_out);
+  for (int i = 0; i < TRAFFIC_COUNT; i++)
+    put_labelled (to, "peer_far_bytes_total", "kind",
+                  peer_traffic_name ((peer_traffic_t)i),
+                  parts->peers.far_bytes[i]);
   put (to, "store_reads_total", parts->store.reads);
   put (to, "store_writes_total", parts->store.writes);
   put (to, "store_failures_total", parts->store.failures);
--- a/src/edge/peer.c
+++ b/src/edge/peer.c
@@ -154,9 +154,9 @@
 }
 
 void
-peer_set_report (peer_set_t *peers, bool whole)
+peer_set_report (peer_set_t *peers, bool whole, bool far)
 {
-  report_to (peers, whole, true);
+  report_to (peers, whole, far);
 }
 
 void
@@ -274,6 +274,18 @@
     visit (ctx, peer);
 }
 
+const char *
+peer_traffic_name (peer_traffic_t traffic)
+{
+  static const char *const names[TRAFFIC_COUNT] = {
+    [TRAFFIC_REPORT] = "report",
+    [TRAFFIC_CALL] = "call",
+    [TRAFFIC_ANSWER] = "answer",
+    [TRAFFIC_DOCUMENT] = "document",
+  };
+  return names[traffic];
+}
+
 peer_set_state_t
 peer_set_state (const peer_set_t *peers)
 {
--- a/src/edge/peer.h
+++ b/src/edge/peer.h
@@ -62,8 +62,9 @@
    every second time at least.  */
 void peer_set_tick (peer_set_t *peers, bool whole, bool far);
 
-/* Sends a whole report now, since something changed.  */
-void peer_set_report (peer_set_t *peers, bool whole);
+/* Sends a report now, since something changed; to other availability zones
+   only if FAR.  */
+void peer_set_report (peer_set_t *peers, bool whole, bool far);
 
 peer_t *peer_set_find (peer_set_t *peers, vm_id_t vm);
 vm_id_t peer_vm (const peer_t *peer);
@@ -101,6 +102,19 @@
 void peer_want_document (peer_t *peer);
 void peer_send_document (peer_t *peer, mesh_document *document);
 
+/* What the bytes on links are for.  */
+typedef enum peer_traffic_t
+{
+  TRAFFIC_REPORT,
+  TRAFFIC_CALL,
+  TRAFFIC_ANSWER,
+  TRAFFIC_DOCUMENT,
+  TRAFFIC_COUNT
+} peer_traffic_t;
+
+/* Static storage.  */
+const char *peer_traffic_name (peer_traffic_t traffic);
+
 typedef struct peer_set_state_t
 {
   uint32_t members;
@@ -109,6 +123,7 @@
   uint64_t frames_in;
   uint64_t frames_out;
   uint64_t bytes_out;
+  uint64_t far_bytes[TRAFFIC_COUNT]; /* to other availability zones */
 } peer_set_state_t;
 
 peer_set_state_t peer_set_state (const peer_set_t *peers);
--- a/src/edge/peer_link.c
+++ b/src/edge/peer_link.c
@@ -45,6 +45,24 @@
     ev_io_stop (ev, &link->writer);
 }
 
+static peer_traffic_t
+traffic_of (mesh_kind kind)
+{
+  switch (kind)
+    {
+    case MESH_REPORT:
+      return TRAFFIC_REPORT;
+    case MESH_REPLY:
+    case MESH_REPLY_BODY:
+    case MESH_FAILED:
+      return TRAFFIC_ANSWER;
+    case MESH_DOCUMENT:
+      return TRAFFIC_DOCUMENT;
+    default:
+      return TRAFFIC_CALL;
+    }
+}
+
 void
 link_send (peer_link_t *link, mesh_kind kind, xdrproc_t encode, void *value,
            size_t room)
@@ -62,6 +80,8 @@
   bytes_added (&link->out, FRAME_HEAD_BYTES + size);
   link->queued_bytes += FRAME_HEAD_BYTES + size;
   link->peers->state.frames_out++;
+  if (link->peer != NULL && link->peer->far)
+    link->peers->state.far_bytes[traffic_of (kind)] += FRAME_HEAD_BYTES + size;
   if (!link->connecting && !ev_is_active (&link->writer))
     loop_defer (link->peers->loop, &link->flush);
 }
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -14,6 +14,7 @@
 #include "edge/operator_feed.h"
 #include "edge/serve.h"
 #include "edge/store.h"
+#include "mesh/catch_up.h"
 
 enum
 {
@@ -22,7 +23,7 @@
   REPORT_LIST_MAX = 128, /* services and accounts in one report */
   CENTI = 100,
   PERMILLE = 1000,
-  WHOLE_REPORTS = 4,  /* one in so many tells all, not changes */
+  WHOLE_REPORTS = 8,  /* one in so many tells all, not changes */
   FAR_REPORTS = 2,    /* one in so many goes to other availability zones */
   FAR_FLEET = 24,     /* sidecars up to which each does */
   RATIO_REPORTS = 40, /* one in so many tells what calls what */
@@ -80,6 +81,9 @@
   entry_point_t *entry;
   store_t *store;
   operator_feed_t *operators;
+  catch_up_t catch_up;     /* of the operators' state */
+  uint64_t newest_version; /* that any sidecar has told of */
+  int64_t newest_offset;
   members_t *members;
   http_server_t *callers;
   http_server_t *ready;
@@ -91,6 +95,7 @@
   ev_signal interrupt;
   ev_signal hup;
   loop_task_t beliefs;
+  bool beliefs_far; /* the other availability zones are told at once too */
   phase_t phase;
   int64_t stop_us; /* when the stop began */
   int64_t load_logged_us;
@@ -125,13 +130,24 @@
   placement_server_t server;
   own_server (sidecar, &server);
   placement_put (sidecar->placement, &server, sidecar->loop.now_us);
-  peer_set_report (sidecar->peers, true);
+  peer_set_report (sidecar->peers, true, sidecar->beliefs_far);
+  sidecar->beliefs_far = false;
 }
 
+/* The backend server beside this sidecar has changed: all place by it.  */
 static void
 beliefs_changed (void *ctx)
 {
   sidecar_t *sidecar = ctx;
+  sidecar->beliefs_far = true;
+  loop_defer (&sidecar->loop, &sidecar->beliefs);
+}
+
+/* The operators' state has changed.  All sidecars take it from the store at
+   about the same time; those that cannot reach it hear of it nearby.  */
+static void
+state_changed (sidecar_t *sidecar)
+{
   loop_defer (&sidecar->loop, &sidecar->beliefs);
 }
 
@@ -209,6 +225,28 @@
 
 /* --- what the others tell ---------------------------------------------- */
 
+/* Another sidecar has that state of what the operators published.  */
+static void
+note_state (sidecar_t *sidecar, vm_id_t vm, bool far, uint64_t version,
+            int64_t offset)
+{
+  if (version > sidecar->newest_version)
+    sidecar->newest_version = version;
+  if (offset > sidecar->newest_offset)
+    sidecar->newest_offset = offset;
+  if (version > operator_feed_version (sidecar->operators)
+      || offset > operator_feed_offset (sidecar->operators))
+    catch_up_heard (&sidecar->catch_up, vm, far, sidecar->loop.now_us);
+}
+
+static bool
+is_caught_up (const sidecar_t *sidecar)
+{
+  return operator_feed_version (sidecar->operators) >= sidecar->newest_version
+         && operator_feed_offset (sidecar->operators)
+                >= sidecar->newest_offset;
+}
+
 static void
 take_identity (sidecar_t *sidecar, peer_t *peer, const mesh_identity *identity,
                const server_load_t *load)
@@ -224,10 +262,10 @@
     .load = *load,
   };
   placement_put (sidecar->placement, &server, sidecar->loop.now_us);
-  if (identity->config_version > operator_feed_version (sidecar->operators)
-      || identity->operator_offset > operator_feed_offset (sidecar->operators))
-    peer_want_document (peer);
-  peer_set_far (peer, strcmp (identity->zone, sidecar->settings.zone) != 0);
+  bool far = strcmp (identity->zone, sidecar->settings.zone) != 0;
+  peer_set_far (peer, far);
+  note_state (sidecar, peer_vm (peer), far, identity->config_version,
+              identity->operator_offset);
 }
 
 static void
@@ -356,7 +394,7 @@
   int service = policy_service (policy, sidecar->settings.service);
   backend_watch_set_service (sidecar->watch,
                              service >= 0 ? &policy->services[service] : NULL);
-  beliefs_changed (sidecar);
+  state_changed (sidecar);
 }
 
 static void
@@ -513,13 +551,44 @@
 {
   entry_state_t entry = entry_state (sidecar->entry);
   peer_set_state_t peers = peer_set_state (sidecar->peers);
-  event_log (&sidecar->log, EVENT_LIFE, "traffic",
-             "local=%llu remote=%llu far=%llu frames=%llu bytes=%llu "
-             "peers=%u up=%u",
-             (unsigned long long)entry.local, (unsigned long long)entry.remote,
-             (unsigned long long)entry.far,
-             (unsigned long long)peers.frames_out,
-             (unsigned long long)peers.bytes_out, peers.members, peers.up);
+  store_state_t store = store_state (sidecar->store);
+  event_log (
+      &sidecar->log, EVENT_LIFE, "traffic",
+      "local=%llu remote=%llu far=%llu frames=%llu bytes=%llu "
+      "peers=%u up=%u far-report=%llu far-call=%llu far-answer=%llu "
+      "far-document=%llu store-reads=%llu store-writes=%llu",
+      (unsigned long long)entry.local, (unsigned long long)entry.remote,
+      (unsigned long long)entry.far, (unsigned long long)peers.frames_out,
+      (unsigned long long)peers.bytes_out, peers.members, peers.up,
+      (unsigned long long)peers.far_bytes[TRAFFIC_REPORT],
+      (unsigned long long)peers.far_bytes[TRAFFIC_CALL],
+      (unsigned long long)peers.far_bytes[TRAFFIC_ANSWER],
+      (unsigned long long)peers.far_bytes[TRAFFIC_DOCUMENT],
+      (unsigned long long)store.reads, (unsigned long long)store.writes);
+}
+
+static void
+catch_up (sidecar_t *sidecar)
+{
+  vm_id_t vm;
+  if (sidecar->catch_up.count == 0)
+    return;
+  if (is_caught_up (sidecar))
+    {
+      catch_up_done (&sidecar->catch_up);
+      return;
+    }
+  if (!catch_up_due (&sidecar->catch_up, sidecar->loop.now_us, &vm))
+    return;
+  peer_t *peer = peer_set_find (sidecar->peers, vm);
+  if (peer == NULL || !peer_is_up (peer))
+    return;
+  event_log (&sidecar->log, EVENT_BELIEF, "document-asked",
+             "vm=%llx far=%d version=%llu newest=%llu", (unsigned long long)vm,
+             peer_is_far (peer),
+             (unsigned long long)operator_feed_version (sidecar->operators),
+             (unsigned long long)sidecar->newest_version);
+  peer_want_document (peer);
 }
 
 static void
@@ -528,6 +597,7 @@
   sidecar_t *sidecar = timer->data;
   (void)ev;
   (void)events;
+  catch_up (sidecar);
   int64_t due_us = runner_tick (sidecar->runner) - sidecar->loop.now_us;
   if (due_us < TICK_LEAST_US)
     due_us = TICK_LEAST_US;
