Read the members now and then, not at each record

Change: a follower has a pace. Members are read after the own write is acknowledged, then after 2, 4, 8 .. 30 s; who writes before it reads misses nobody who has read before it wrote, and a sidecar that opens a link counts as a member at once.

--- a/src/edge/members.c
+++ b/src/edge/members.c
@@ -164,7 +164,15 @@
   store_handler_t handler
       = { on_snapshot_begin, on_record, on_snapshot_end, members };
   write_own (members);
-  store_follow (members->store, members->topic, &handler);
+  store_follow (members->store, members->topic, STORE_NOW_AND_THEN, &handler);
+}
+
+void
+members_heard (members_t *members, vm_id_t vm)
+{
+  entry_t *entry = find_or_add (members, vm);
+  if (entry->offset < 0)
+    set_there (members, entry, true);
 }
 
 void
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -262,6 +262,7 @@
     .load = *load,
   };
   placement_put (sidecar->placement, &server, sidecar->loop.now_us);
+  members_heard (sidecar->members, peer_vm (peer));
   bool far = strcmp (identity->zone, sidecar->settings.zone) != 0;
   peer_set_far (peer, far);
   note_state (sidecar, peer_vm (peer), far, identity->config_version,
@@ -840,7 +841,8 @@
              "version=%s incarnation=%llu service=%s zone=%s",
              REDWINGFORD_VERSION, (unsigned long long)sidecar->incarnation,
              sidecar->settings.service, sidecar->settings.zone);
-  store_follow (sidecar->store, sidecar->dialect->operator_topic, &operators);
+  store_follow (sidecar->store, sidecar->dialect->operator_topic,
+                STORE_AT_ONCE, &operators);
   members_join (sidecar->members);
   start_timer (sidecar, &sidecar->tick, on_tick, TICK_US);
   start_timer (sidecar, &sidecar->report, on_report_due, PEER_REPORT_US);
--- a/src/edge/store.c
+++ b/src/edge/store.c
@@ -13,7 +13,11 @@
   ANSWER_US = 3000 * US_PER_MS, /* for a call that does not wait */
   WAIT_MS = 28000, /* for new records; the store waits 30 s at most */
   RETRY_FIRST_US = 100 * US_PER_MS,
-  RETRY_MOST_US = 1500 * US_PER_MS /* entries are to be back within 2 s */
+  RETRY_MOST_US = 1500 * US_PER_MS, /* entries are to be back within 2 s */
+  /* Between two reads now and then: soon after a start, when others start
+     too, and later about as often as a waiting read is renewed.  */
+  REST_FIRST_US = 2 * US_PER_S,
+  REST_MOST_US = 30 * US_PER_S
 };
 
 /* One call at a time: a reader, or the writer.  */
@@ -33,6 +37,8 @@
 {
   caller_t caller;
   const char *topic;
+  store_pace_t pace;
+  int64_t rest_us; /* until the next read now and then */
   store_handler_t handler;
   bool in_step; /* the newest were read; FROM is next */
   int64_t from;
@@ -74,19 +80,30 @@
              (unsigned long long)store->state.failures);
 }
 
+static int64_t
+doubled (int64_t pause_us, int64_t most_us)
+{
+  return pause_us * 2 < most_us ? pause_us * 2 : most_us;
+}
+
+/* The next call comes after PAUSE_US, spread by half of it to both sides.  */
 static void
-pause_caller (caller_t *caller)
+call_later (caller_t *caller, int64_t pause_us)
 {
   store_t *store = caller->store;
-  int64_t pause_us = caller->pause_us;
-  caller->call = NULL;
-  store->state.failures++;
-  caller->pause_us
-      = pause_us * 2 < RETRY_MOST_US ? pause_us * 2 : RETRY_MOST_US;
   loop_timer (store->loop, &caller->timer,
               (int64_t)((double)pause_us * (0.5 + rng_unit (store->rng))));
 }
 
+static void
+pause_caller (caller_t *caller)
+{
+  caller->call = NULL;
+  caller->store->state.failures++;
+  call_later (caller, caller->pause_us);
+  caller->pause_us = doubled (caller->pause_us, RETRY_MOST_US);
+}
+
 static void
 caller_failed (caller_t *caller, int status)
 {
@@ -209,14 +226,15 @@
   store_t *store = caller->store;
   bytes_t head = { 0 };
   bytes_t none = { 0 };
+  uint32_t wait_ms = follower->pace == STORE_AT_ONCE ? WAIT_MS : 0;
   int64_t timeout_us = ANSWER_US;
 
   store->state.reads++;
   if (follower->in_step)
     {
       store->dialect->write_follow (&head, store->host, follower->topic,
-                                    follower->from, WAIT_MS);
-      timeout_us += (int64_t)WAIT_MS * US_PER_MS;
+                                    follower->from, wait_ms);
+      timeout_us += (int64_t)wait_ms * US_PER_MS;
     }
   else
     store->dialect->write_newest (&head, store->host, follower->topic,
@@ -241,6 +259,30 @@
   pause_caller (&follower->caller);
 }
 
+/* The follower is in step: waits for what comes.  */
+static void
+read_on (follower_t *follower)
+{
+  if (follower->pace == STORE_AT_ONCE)
+    {
+      read_next (&follower->caller);
+      return;
+    }
+  call_later (&follower->caller, follower->rest_us);
+  follower->rest_us = doubled (follower->rest_us, REST_MOST_US);
+}
+
+/* An own write was acknowledged: what was written before it can be read.  */
+static void
+read_again (follower_t *follower)
+{
+  if (follower->pace == STORE_AT_ONCE || follower->caller.call != NULL)
+    return;
+  follower->rest_us = REST_FIRST_US;
+  ev_timer_stop (follower->caller.store->loop->ev, &follower->caller.timer);
+  read_next (&follower->caller);
+}
+
 static void
 take_newest (follower_t *follower)
 {
@@ -271,7 +313,7 @@
                                   follower->snapshot_end);
   follower->in_step = true;
   follower->from = follower->snapshot_end;
-  read_next (caller);
+  read_on (follower);
 }
 
 static void
@@ -289,7 +331,7 @@
       return;
     }
   follower->from = page.end;
-  read_next (caller);
+  read_on (follower);
 }
 
 static void
@@ -311,11 +353,13 @@
 }
 
 void
-store_follow (store_t *store, const char *topic,
+store_follow (store_t *store, const char *topic, store_pace_t pace,
               const store_handler_t *handler)
 {
   follower_t *follower = &store->followers[store->follower_count++];
   follower->topic = topic;
+  follower->pace = pace;
+  follower->rest_us = REST_FIRST_US;
   follower->handler = *handler;
   caller_open (&follower->caller, store, read_next, read_done);
   read_next (&follower->caller);
@@ -352,10 +396,14 @@
       return;
     }
   caller->pause_us = RETRY_FIRST_US;
-  if (store->sent_edition == store->edition)
-    store->dirty = false;
-  else
-    write_next (caller);
+  if (store->sent_edition != store->edition)
+    {
+      write_next (caller);
+      return;
+    }
+  store->dirty = false;
+  for (uint32_t i = 0; i < store->follower_count; i++)
+    read_again (&store->followers[i]);
 }
 
 void
