Refuse requests that come late in a stop, unrun

Ruled out: a closing connection that still holds its last answer; the log shows the run cut by the end of the stop. Change: while stopping, callers are refused (503, unrun) after 2.8 s, and any request whose run, taken six times as long as usual, would not end before the stop does.

--- a/src/edge/entry_point.c
+++ b/src/edge/entry_point.c
@@ -61,6 +61,8 @@
   uint32_t service_count;
   route_runs_t runs[ROUTE_RUNS];
   uint32_t sidecars;
+  int64_t stop_since_us; /* 0 is "not stopping" */
+  int64_t stop_end_us;
   entry_state_t state;
 };
 
@@ -960,6 +962,21 @@
             entry->policy->services[route->parts[part].service].name);
 }
 
+/* Whether a stop leaves time for the request.  False when it was refused.  */
+static bool
+fits_stop (exchange_t *exchange)
+{
+  entry_point_t *entry = exchange->entry;
+  int64_t now_us = entry->parts.loop->now_us;
+  if (entry->stop_since_us == 0
+      || admission_fits_stop (
+          exchange->from_backend, now_us - entry->stop_since_us,
+          entry->stop_end_us - now_us, (int64_t)exchange->runs->mean_us))
+    return true;
+  finish (exchange, ENTRY_STOPPING, 503);
+  return false;
+}
+
 static void
 count_first (exchange_t *exchange)
 {
@@ -1014,7 +1031,8 @@
     }
   const policy_route_t *route = &entry->policy->routes[number];
   set_route (exchange, route, number, look.timeout_us);
-  if (!identify (exchange, route, &look) || !admit (exchange))
+  if (!identify (exchange, route, &look) || !fits_stop (exchange)
+      || !admit (exchange))
     return;
   int64_t now_us = entry->parts.loop->now_us;
   exchange->patience_us
@@ -1091,6 +1109,13 @@
   entry->sidecars = sidecars > 0 ? sidecars : 1;
 }
 
+void
+entry_set_stop (entry_point_t *entry, int64_t since_us, int64_t end_us)
+{
+  entry->stop_since_us = since_us;
+  entry->stop_end_us = end_us;
+}
+
 http_handler_t
 entry_handler (entry_point_t *entry)
 {
--- a/src/edge/entry_point.h
+++ b/src/edge/entry_point.h
@@ -26,6 +26,7 @@
   END (BAD_REQUEST, "bad-request")                                            \
   END (RATE, "rate-exceeded")                                                 \
   END (PRESSURE, "overload")                                                  \
+  END (STOPPING, "stopping")                                                  \
   END (NO_ROOM, "no-room")                                                    \
   END (DEADLINE, "deadline-passed")                                           \
   END (UNKNOWN, "outcome-unknown")                                            \
@@ -69,6 +70,9 @@
 /* Sidecars in the fleet, this one included.  */
 void entry_set_sidecars (entry_point_t *entry, uint32_t sidecars);
 
+/* The sidecar began to stop at SINCE_US and ends at END_US.  */
+void entry_set_stop (entry_point_t *entry, int64_t since_us, int64_t end_us);
+
 /* The handler of the callers' listener.  */
 http_handler_t entry_handler (entry_point_t *entry);
 
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -521,12 +521,18 @@
              (long long)runner_run_us (sidecar->runner));
 }
 
+/* How long a stop takes at most.  */
+static int64_t
+stop_us_of (const sidecar_t *sidecar)
+{
+  return (int64_t)(sidecar->settings.stop_s * US_PER_S) - LAST_ANSWERS_US;
+}
+
 static void
 next_phase (sidecar_t *sidecar)
 {
   int64_t age_us = sidecar->loop.now_us - sidecar->stop_us;
-  int64_t most_us
-      = (int64_t)(sidecar->settings.stop_s * US_PER_S) - LAST_ANSWERS_US;
+  int64_t most_us = stop_us_of (sidecar);
   uint32_t open
       = entry_state (sidecar->entry).open + runner_open (sidecar->runner);
   if (sidecar->phase == PHASE_NOTICE && age_us >= READY_NOTICE_US)
@@ -668,6 +674,8 @@
   sidecar->stop_us = sidecar->loop.now_us;
   event_log (&sidecar->log, EVENT_LIFE, "stopping", "open=%u runs=%u",
              entry_state (sidecar->entry).open, runner_open (sidecar->runner));
+  entry_set_stop (sidecar->entry, sidecar->stop_us,
+                  sidecar->stop_us + stop_us_of (sidecar));
   members_leave (sidecar->members);
   beliefs_changed (sidecar);
 }
--- a/src/mesh/admission.c
+++ b/src/mesh/admission.c
@@ -18,9 +18,16 @@
 static const double PATIENCE_SHARE = 0.125; /* of the latency objective */
 static const double PATIENCE_OF_CALL = 0.5; /* of the time left */
 
+/* Mean runs within which nearly every run ends.  */
+static const double STOP_RUNS = 6;
+
 enum
 {
-  RETRY_LEAST_MS = 50
+  RETRY_LEAST_MS = 50,
+  /* After it callers have had the time of two readiness checks to notice,
+     and the users count what is cut.  */
+  STOP_CALLERS_US = 2800 * US_PER_MS,
+  STOP_RUN_LEAST_US = 400 * US_PER_MS
 };
 
 bool
@@ -35,6 +42,16 @@
   return draw >= pow (1 - request->pressure, cost / weight);
 }
 
+bool
+admission_fits_stop (bool from_backend, int64_t since_us, int64_t left_us,
+                     int64_t mean_us)
+{
+  double run_us = fmax (STOP_RUN_LEAST_US, (double)mean_us * STOP_RUNS);
+  if (!from_backend && since_us > STOP_CALLERS_US)
+    return false;
+  return run_us <= (double)left_us;
+}
+
 uint32_t
 admission_retry_ms (int64_t left_us, int64_t target_us, double draw)
 {
--- a/src/mesh/admission.h
+++ b/src/mesh/admission.h
@@ -22,6 +22,12 @@
    shut out.  */
 bool admission_refuses (const admission_case_t *request, double draw);
 
+/* Whether a sidecar that has been stopping for SINCE_US and ends in LEFT_US
+   may still take a request whose runs take MEAN_US on average.  Later ones
+   are refused, unrun: their answers could be cut by the end.  */
+bool admission_fits_stop (bool from_backend, int64_t since_us, int64_t left_us,
+                          int64_t mean_us);
+
 /* When a refused caller may come back, in milliseconds.  Returns are spread,
    so that they do not come as one wave, over the time in which an answer is
    still worth its full price.  */
--- a/tests/mesh_decisions_test.cc
+++ b/tests/mesh_decisions_test.cc
@@ -78,6 +78,40 @@
 
 /* --- split ------------------------------------------------------------- */
 
+struct StopRow
+{
+  const char *name;
+  bool from_backend;
+  int64_t since_ms;
+  int64_t left_ms;
+  int64_t mean_ms;
+  bool fits;
+};
+
+const StopRow stop_rows[] = {
+  { "AtOnce", false, 0, 5000, 240, true },
+  { "BeforeCallersNotice", false, 2700, 2300, 240, true },
+  { "ACallerThatCameLate", false, 3300, 1700, 240, false },
+  { "ACallWhileItsParentRuns", true, 3300, 1700, 15, true },
+  { "ACallJustBeforeTheEnd", true, 4700, 300, 15, false },
+  { "LongerThanWhatIsLeft", false, 2000, 3000, 880, false },
+};
+
+class Stop : public testing::TestWithParam<StopRow>
+{
+};
+
+TEST_P (Stop, TakesOnlyWhatEndsBeforeIt)
+{
+  const StopRow &row = GetParam ();
+  EXPECT_EQ (row.fits, admission_fits_stop (
+                           row.from_backend, row.since_ms * US_PER_MS,
+                           row.left_ms * US_PER_MS, row.mean_ms * US_PER_MS));
+}
+
+INSTANTIATE_TEST_SUITE_P (Table, Stop, testing::ValuesIn (stop_rows),
+                          [] (const auto &info) { return info.param.name; });
+
 TEST (Split, IsExactOverTime)
 {
   split_t split = {};
--- a/tests/mesh_edge_test.cc
+++ b/tests/mesh_edge_test.cc
@@ -583,6 +583,18 @@
   EXPECT_EQ (0u, caller.got.find ("HTTP/1.1 200"));
 }
 
+TEST_F (Two, ARequestThatComesLateInAStopIsRefusedUnrun)
+{
+  entry_set_stop (a->entry, loop.now_us - 4700 * US_PER_MS,
+                  loop.now_us + 300 * US_PER_MS);
+  Caller caller (http_server_port (a->callers));
+  caller.send (request ("POST", "/book/1", "id-1"));
+  ASSERT_TRUE (wait ([&] { return caller.has ("\r\n\r\n"); }));
+  EXPECT_EQ (0u, caller.got.find ("HTTP/1.1 503")) << caller.got;
+  EXPECT_NE (std::string::npos, caller.got.find ("Retry-After: "));
+  EXPECT_TRUE (backend->targets.empty ());
+}
+
 struct AnswerRow
 {
   const char *name;
