Take the deployment's bounds from its settings

The pool of repeats is earned in parts of the share; the rates' window has as many periods as the setting says. Ruled out: one text with all bounds that platform/ takes apart; the template has them by name.

--- a/src/edge/entry_point.c
+++ b/src/edge/entry_point.c
@@ -132,6 +132,13 @@
   return end_names[end];
 }
 
+static retry_bounds_t
+retry_bounds (const entry_point_t *entry)
+{
+  return (retry_bounds_t){ entry->parts.retry_share,
+                           entry->parts.retry_reserve, entry->sidecars };
+}
+
 static service_state_t *
 service_state (entry_point_t *entry, const char *service)
 {
@@ -142,8 +149,7 @@
     return &entry->services[SERVICES_MAX - 1];
   service_state_t *state = &entry->services[entry->service_count++];
   *state = (service_state_t){ .cost_us = 0 };
-  retry_pool_open (&state->pool, service, entry->parts.retry_reserve,
-                   entry->sidecars);
+  retry_pool_open (&state->pool, service, retry_bounds (entry));
   return state;
 }
 
@@ -984,7 +990,7 @@
   bool leaf = call_graph_is_leaf (entry->parts.graph, exchange->route,
                                   entry->parts.loop->now_us);
   retry_pool_earn (retry_pool (entry, exchange->service), leaf,
-                   entry->parts.retry_reserve, entry->sidecars);
+                   retry_bounds (entry));
   if (!exchange->from_backend)
     return;
   call_learner_called (entry->parts.learner, exchange->route);
--- a/src/edge/entry_point.h
+++ b/src/edge/entry_point.h
@@ -57,8 +57,11 @@
   quota_t *quota;
   peer_set_t *peers;
   runner_t *runner;
-  const char *service;  /* of the backend server beside this sidecar */
-  double retry_reserve; /* second sendings in a window without first ones */
+  const char *service; /* of the backend server beside this sidecar */
+  /* Second sendings by the fleet: for each first one, and beside these in a
+     window.  */
+  double retry_share;
+  double retry_reserve;
 } entry_parts_t;
 
 entry_point_t *entry_new (const entry_parts_t *parts);
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -762,6 +762,7 @@
   loop_t *loop = &sidecar->loop;
   const dialect_t *dialect = sidecar->dialect;
   const sidecar_settings_t *settings = &sidecar->settings;
+  int64_t window_us = (int64_t)(settings->rate_window_s * US_PER_S);
   runner_handler_t runner = { on_server_lost, on_faulted, sidecar };
   peer_handler_t peers
       = { make_report, on_report,        on_down,     on_call, on_cancel,
@@ -771,7 +772,7 @@
 
   sidecar->placement
       = placement_new (settings->zone, &sidecar->rng, loop->now_us);
-  sidecar->quota = quota_new ();
+  sidecar->quota = quota_new (window_us);
   sidecar->graph = call_graph_new ();
   sidecar->learner = call_learner_new ();
   sidecar->runner
@@ -796,6 +797,7 @@
     .peers = sidecar->peers,
     .runner = sidecar->runner,
     .service = settings->service,
+    .retry_share = settings->retry_share,
     .retry_reserve = settings->retry_reserve,
   };
   sidecar->entry = entry_new (&entry);
--- a/src/edge/sidecar_settings.c
+++ b/src/edge/sidecar_settings.c
@@ -43,7 +43,9 @@
   { "backend", KIND_ADDR, true, AT (backend), 0, 0, 0 },
   { "store", KIND_ADDR, true, AT (store), 0, 0, 0 },
   { "stop_s", KIND_NUMBER, false, AT (stop_s), 6, 1, 600 },
+  { "retry_share", KIND_NUMBER, false, AT (retry_share), 0.2, 0, 1 },
   { "retry_reserve", KIND_NUMBER, false, AT (retry_reserve), 0, 0, 1e6 },
+  { "rate_window_s", KIND_NUMBER, false, AT (rate_window_s), 5, 1, 60 },
   { "memory_mb", KIND_COUNT, false, AT (memory_mb), 64, 16, 1048576 },
 };
 
--- a/src/edge/sidecar_settings.h
+++ b/src/edge/sidecar_settings.h
@@ -17,8 +17,12 @@
   endpoint_addr_t metrics;
   endpoint_addr_t backend; /* the backend server */
   endpoint_addr_t store;
-  double stop_s;        /* a stop is followed by a kill after this */
-  double retry_reserve; /* second sendings in a window, by the fleet */
+  double stop_s; /* a stop is followed by a kill after this */
+  /* Second sendings by the fleet: for each first one, and beside these in
+     a window.  */
+  double retry_share;
+  double retry_reserve;
+  double rate_window_s; /* over which the client accounts' rates count */
   uint32_t memory_mb;   /* that the process may use */
 } sidecar_settings_t;
 
--- a/src/mesh/quota.c
+++ b/src/mesh/quota.c
@@ -11,7 +11,7 @@
 enum
 {
   AVERAGE_US = US_PER_S, /* over which rates are averaged */
-  SLOTS = QUOTA_WINDOW_US / QUOTA_PERIOD_US
+  SLOTS_MOST = QUOTA_WINDOW_MOST_US / QUOTA_PERIOD_US
 };
 
 /* Part of a rate that goes to all sidecars alike, so that the first requests
@@ -55,10 +55,11 @@
   uint32_t number;
   double rate_per_s;
   double burst;
-  double window[SLOTS]; /* admitted by the whole fleet, by period */
-  uint32_t slot;        /* the newest */
-  double spent;         /* sum of the window */
-  double usable;        /* part of the limit that the sidecars heard may use */
+  double window[SLOTS_MOST]; /* admitted by the whole fleet, by period */
+  uint32_t slots;            /* of the window */
+  uint32_t slot;             /* the newest */
+  double spent;              /* sum of the window */
+  double usable; /* part of the limit that the sidecars heard may use */
   double admitted_per_s;    /* here, averaged */
   double allowance;         /* of this sidecar until the next period */
   bool calm;                /* demand was well inside the limit */
@@ -86,6 +87,7 @@
   size_t silent_count;
   uint32_t members;
   int64_t tick_us;
+  int64_t window_us;
 };
 
 uint32_t
@@ -95,12 +97,13 @@
 }
 
 quota_t *
-quota_new (void)
+quota_new (int64_t window_us)
 {
   quota_t *quota = calloc (1, sizeof *quota);
   if (quota == NULL)
     abort ();
   quota->members = 1;
+  quota->window_us = window_us;
   return quota;
 }
 
@@ -136,7 +139,10 @@
   if (quota->accounts == NULL)
     abort ();
   account = &quota->accounts[quota->count++];
-  *account = (account_t){ .usable = 1 };
+  *account = (account_t){
+    .usable = 1,
+    .slots = (uint32_t)(quota->window_us / QUOTA_PERIOD_US),
+  };
   snprintf (account->name, sizeof account->name, "%s", name);
   account->number = quota_number (name);
   return account;
@@ -172,7 +178,8 @@
 static double
 window_limit (const account_t *account)
 {
-  return account->rate_per_s * QUOTA_WINDOW_US / US_PER_S + account->burst;
+  double window_s = (double)account->slots * QUOTA_PERIOD_US / US_PER_S;
+  return account->rate_per_s * window_s + account->burst;
 }
 
 /* Sets what the sidecars that are heard may use together, as of the moment at
@@ -182,7 +189,7 @@
 static void
 divide (const quota_t *quota, account_t *account)
 {
-  double window_s = (double)QUOTA_WINDOW_US / US_PER_S;
+  double window_s = (double)quota->window_us / US_PER_S;
   double limit = window_limit (account);
   double heard = account->admitted_per_s * window_s;
   double silent = 0;
@@ -260,13 +267,13 @@
 static double
 window_leaving (const account_t *account)
 {
-  return account->window[(account->slot + 1) % SLOTS];
+  return account->window[(account->slot + 1) % account->slots];
 }
 
 static bool
 is_calm (const account_t *account, double demand)
 {
-  double leaving = account->spent / SLOTS;
+  double leaving = account->spent / account->slots;
   return demand <= leaving + window_room (account) * CALM_SHARE;
 }
 
@@ -306,8 +313,8 @@
 fill_window (account_t *account)
 {
   account->spent = window_limit (account);
-  for (int i = 0; i < SLOTS; i++)
-    account->window[i] = account->spent / SLOTS;
+  for (uint32_t i = 0; i < account->slots; i++)
+    account->window[i] = account->spent / account->slots;
 }
 
 void
@@ -378,7 +385,7 @@
           peer->admitted_per_s, (int32_t)peer->since / period_s, period_s);
       peer->since = 0;
     }
-  account->slot = (account->slot + 1) % SLOTS;
+  account->slot = (account->slot + 1) % account->slots;
   account->spent += spent - account->window[account->slot];
   account->window[account->slot] = spent;
 }
--- a/src/mesh/quota.h
+++ b/src/mesh/quota.h
@@ -2,7 +2,7 @@
 #define REDWINGFORD_QUOTA_H
 
 /* The client accounts' rates over all sidecars, without a request between
-   them.  In any window of QUOTA_WINDOW_US an account may have its rate times
+   them.  In any window of the given length an account may have its rate times
    the window, and its burst.  Each sidecar tells, every period, how many
    requests of each account it has admitted and how many came; from that every
    sidecar counts the fleet's window, and may spend its part of what is left,
@@ -17,13 +17,14 @@
 
 enum
 {
-  QUOTA_WINDOW_US = 5 * US_PER_S, /* over which the users count */
-  QUOTA_PERIOD_US = 250 * US_PER_MS
+  QUOTA_PERIOD_US = 250 * US_PER_MS,
+  QUOTA_WINDOW_MOST_US = 60 * US_PER_S
 };
 
 typedef struct quota_t quota_t;
 
-quota_t *quota_new (void);
+/* WINDOW_US is at least one period, at most QUOTA_WINDOW_MOST_US.  */
+quota_t *quota_new (int64_t window_us);
 void quota_free (quota_t *quota);
 
 /* The limit of an account; a rate of 0 is none.  */
--- a/src/mesh/retry_pool.c
+++ b/src/mesh/retry_pool.c
@@ -3,34 +3,34 @@
 #include <math.h>
 #include <stdio.h>
 
-/* Of first sendings.  The users allow a fifth at each service; calls made by
-   a run that is itself a repeat count as repeats too, so a service may see
-   those of three levels above it beside its own.  */
-static const double EARNED_LEAF = 0.08;
-static const double EARNED = 0.03;
+/* Of the share that is allowed at each service.  Calls made by a run that is
+   itself a repeat count as repeats too, so a service may see those of three
+   levels above it beside its own.  */
+static const double EARNED_LEAF = 0.4;
+static const double EARNED = 0.15;
 /* Of the reserve that is handed out; the rest covers repeated calls.  */
 static const double RESERVE_SHARE = 0.5;
 
 static double
-most (double reserve, uint32_t sidecars)
+most (retry_bounds_t bounds)
 {
-  return fmax (1, reserve * RESERVE_SHARE / (sidecars > 0 ? sidecars : 1));
+  double sidecars = bounds.sidecars > 0 ? bounds.sidecars : 1;
+  return fmax (1, bounds.reserve * RESERVE_SHARE / sidecars);
 }
 
 void
-retry_pool_open (retry_pool_t *pool, const char *service, double reserve,
-                 uint32_t sidecars)
+retry_pool_open (retry_pool_t *pool, const char *service,
+                 retry_bounds_t bounds)
 {
   snprintf (pool->service, sizeof pool->service, "%s", service);
-  pool->tokens = most (reserve, sidecars);
+  pool->tokens = most (bounds);
 }
 
 void
-retry_pool_earn (retry_pool_t *pool, bool leaf, double reserve,
-                 uint32_t sidecars)
+retry_pool_earn (retry_pool_t *pool, bool leaf, retry_bounds_t bounds)
 {
-  pool->tokens = fmin (pool->tokens + (leaf ? EARNED_LEAF : EARNED),
-                       most (reserve, sidecars));
+  double earned = bounds.share * (leaf ? EARNED_LEAF : EARNED);
+  pool->tokens = fmin (pool->tokens + earned, most (bounds));
 }
 
 bool
--- a/src/mesh/retry_pool.h
+++ b/src/mesh/retry_pool.h
@@ -13,14 +13,20 @@
   double tokens;
 } retry_pool_t;
 
-/* RESERVE is the fleet's allowance for quiet services, SIDECARS share it.  */
-void retry_pool_open (retry_pool_t *pool, const char *service, double reserve,
-                      uint32_t sidecars);
+/* What the whole fleet is allowed at each service.  */
+typedef struct retry_bounds_t
+{
+  double share;   /* second sendings for each first one */
+  double reserve; /* and beside these, in a window */
+  uint32_t sidecars;
+} retry_bounds_t;
+
+void retry_pool_open (retry_pool_t *pool, const char *service,
+                      retry_bounds_t bounds);
 
 /* A first sending.  Of a LEAF, which calls no further, more is earned: a
    repeat there repeats nothing else.  */
-void retry_pool_earn (retry_pool_t *pool, bool leaf, double reserve,
-                      uint32_t sidecars);
+void retry_pool_earn (retry_pool_t *pool, bool leaf, retry_bounds_t bounds);
 
 /* Takes one second sending; false when none is left.  */
 bool retry_pool_take (retry_pool_t *pool);
--- a/tests/mesh_decisions_test.cc
+++ b/tests/mesh_decisions_test.cc
@@ -136,11 +136,12 @@
   for (bool leaf : { false, false, false, true })
     {
       retry_pool_t pool;
-      retry_pool_open (&pool, "s", 0, 12);
+      retry_bounds_t bounds = { 0.2, 0, 12 };
+      retry_pool_open (&pool, "s", bounds);
       int taken = 0;
       for (int i = 0; i < 10000; i++)
         {
-          retry_pool_earn (&pool, leaf, 0, 12);
+          retry_pool_earn (&pool, leaf, bounds);
           taken += retry_pool_take (&pool);
         }
       repeats += taken / 10000.0;
@@ -151,6 +152,8 @@
 
 /* --- rates ------------------------------------------------------------- */
 
+const int64_t QUOTA_WINDOW_US = 5 * US_PER_S;
+
 struct Sidecars
 {
   std::vector<quota_t *> quotas;
@@ -165,7 +168,7 @@
   {
     for (int i = 0; i < count; i++)
       {
-        quotas.push_back (quota_new ());
+        quotas.push_back (quota_new (QUOTA_WINDOW_US));
         lives.push_back (1);
         quota_set_members (quotas[i], count);
         quota_set_limit (quotas[i], "a", rate, burst);
@@ -305,7 +308,7 @@
   for (size_t i = 0; i < all.quotas.size (); i++)
     {
       quota_free (all.quotas[i]);
-      all.quotas[i] = quota_new ();
+      all.quotas[i] = quota_new (QUOTA_WINDOW_US);
       all.lives[i]++;
       quota_set_members (all.quotas[i], 12);
       quota_set_limit (all.quotas[i], "a", 100, 100);
@@ -332,7 +335,7 @@
 
 TEST (RatesUnderFaults, WhatDidNotRunIsGivenBack)
 {
-  quota_t *quota = quota_new ();
+  quota_t *quota = quota_new (QUOTA_WINDOW_US);
   quota_set_limit (quota, "a", 1, 1);
   quota_news_t none = {};
   int64_t now_us = US_PER_S;
--- a/tests/mesh_edge_test.cc
+++ b/tests/mesh_edge_test.cc
@@ -367,7 +367,7 @@
   placement_t *placement = nullptr;
   call_graph_t *graph = call_graph_new ();
   call_learner_t *learner = call_learner_new ();
-  quota_t *quota = quota_new ();
+  quota_t *quota = quota_new (5 * US_PER_S);
   peer_set_t *peers = nullptr;
   entry_point_t *entry = nullptr;
   http_server_t *callers = nullptr;
@@ -406,6 +406,7 @@
                             peers,
                             runner,
                             this->service.c_str (),
+                            0.2,
                             0 };
     entry = entry_new (&parts);
     http_limits_t made = limits ();
