Hold requests that crash the servers that run them

Ruled out: quarantine.h as it is: a suspect waits for an empty server, which a loaded one never is. Change: crash_suspects counts, by account, target and body, the crashes of servers under a run: a cut run is suspect when the server cannot be reached within 3 s or another instance is there. Crashes within a second are one, an answer anywhere clears; from three on the request is refused everywhere, unrun. Told in whole reports by the one that saw it.

--- a/src/edge/entry_point.c
+++ b/src/edge/entry_point.c
@@ -739,6 +739,12 @@
 {
   entry_point_t *entry = exchange->entry;
   exchange->cause = failure->cause;
+  /* Held everywhere; this sidecar has not heard of it yet.  */
+  if (failure->cause == CAUSE_SUSPECT)
+    {
+      finish_unanswered (exchange, ENTRY_SUSPECT);
+      return;
+    }
   /* A server that was reached counts among those that are sent to again.  */
   if (failure->cause == CAUSE_SERVER_SHED)
     {
@@ -983,6 +989,25 @@
   return false;
 }
 
+/* Whether the request is not one that crashes backend servers.  False when it
+   was refused.  */
+static bool
+is_unsuspected (exchange_t *exchange)
+{
+  crash_suspects_t *suspects = exchange->entry->parts.suspects;
+  const http_exchange_t *http = exchange->http;
+  if (crash_suspects_is_empty (suspects)
+      || !crash_suspects_refuses (
+          suspects,
+          crash_fingerprint (exchange->account, bytes_data (&http->target),
+                             bytes_data (&http->body),
+                             bytes_size (&http->body)),
+          exchange->entry->parts.loop->now_us))
+    return true;
+  finish (exchange, ENTRY_SUSPECT, 503);
+  return false;
+}
+
 static void
 count_first (exchange_t *exchange)
 {
@@ -1038,7 +1063,7 @@
   const policy_route_t *route = &entry->policy->routes[number];
   set_route (exchange, route, number, look.timeout_us);
   if (!identify (exchange, route, &look) || !fits_stop (exchange)
-      || !admit (exchange))
+      || !is_unsuspected (exchange) || !admit (exchange))
     return;
   int64_t now_us = entry->parts.loop->now_us;
   exchange->patience_us
--- a/src/edge/entry_point.h
+++ b/src/edge/entry_point.h
@@ -27,6 +27,7 @@
   END (RATE, "rate-exceeded")                                                 \
   END (PRESSURE, "overload")                                                  \
   END (STOPPING, "stopping")                                                  \
+  END (SUSPECT, "crash-suspect")                                              \
   END (NO_ROOM, "no-room")                                                    \
   END (DEADLINE, "deadline-passed")                                           \
   END (UNKNOWN, "outcome-unknown")                                            \
@@ -55,6 +56,7 @@
   call_graph_t *graph;
   call_learner_t *learner;
   quota_t *quota;
+  crash_suspects_t *suspects;
   peer_set_t *peers;
   runner_t *runner;
   const char *service; /* of the backend server beside this sidecar */
--- a/src/edge/runner.c
+++ b/src/edge/runner.c
@@ -15,7 +15,9 @@
   WHOLE_BYTES = 32 * 1024,      /* answers up to this go out in one piece */
   KEEP_US = 10 * US_PER_S,      /* answers kept for questions about them */
   KEEP_BYTES = 64 * 1024,       /* larger answers are not kept */
-  BUCKETS = 4096                /* of the attempts that must run once */
+  CUTS_MAX = 64,                /* runs that were cut a moment ago */
+  CUT_US = 3 * US_PER_S, /* in which a server that crashed is found missing */
+  BUCKETS = 4096         /* of the attempts that must run once */
 };
 
 typedef enum run_state_t
@@ -42,6 +44,7 @@
   bool too_large;
   int64_t deadline_us;
   int64_t ended_us;
+  uint64_t fingerprint;
   char attempt_id[ATTEMPT_ID_BYTES];
   char account[NAME_BYTES];
   char caller[NAME_BYTES];
@@ -58,6 +61,13 @@
   call_failure_t failure;
 };
 
+/* A run that the server cut: suspect if the server turns out to be gone.  */
+typedef struct cut_run_t
+{
+  uint64_t fingerprint;
+  int64_t cut_us;
+} cut_run_t;
+
 struct runner_t
 {
   loop_t *loop;
@@ -66,6 +76,9 @@
   intake_t *intake;
   uint64_t incarnation;
   call_learner_t *learner;
+  crash_suspects_t *suspects;
+  cut_run_t cuts[CUTS_MAX];
+  uint32_t cut_count;
   runner_handler_t handler;
   char server_id[SERVER_ID_BYTES];
   run_t *attempts[BUCKETS];
@@ -150,6 +163,50 @@
     }
 }
 
+/* --- runs that may have crashed the server ------------------------------ */
+
+static void
+note_cut (run_t *run)
+{
+  runner_t *runner = run->runner;
+  if (runner->cut_count == CUTS_MAX)
+    memmove (&runner->cuts[0], &runner->cuts[1],
+             --runner->cut_count * sizeof runner->cuts[0]);
+  runner->cuts[runner->cut_count++]
+      = (cut_run_t){ run->fingerprint, runner->loop->now_us };
+}
+
+/* An answer came after all, or to the same request sent again.  */
+static void
+clear_suspect (run_t *run)
+{
+  runner_t *runner = run->runner;
+  uint32_t kept = 0;
+  for (uint32_t i = 0; i < runner->cut_count; i++)
+    if (runner->cuts[i].fingerprint != run->fingerprint)
+      runner->cuts[kept++] = runner->cuts[i];
+  runner->cut_count = kept;
+  if (!crash_suspects_is_empty (runner->suspects)
+      && crash_suspects_ended (runner->suspects, run->fingerprint,
+                               runner->loop->now_us))
+    runner->handler.suspects_changed (runner->handler.ctx, 0);
+}
+
+/* The server is gone: what it cut lately counts as run when it crashed.  */
+static void
+count_crash (runner_t *runner)
+{
+  int64_t now_us = runner->loop->now_us;
+  uint32_t counted = 0;
+  for (uint32_t i = 0; i < runner->cut_count; i++)
+    if (now_us - runner->cuts[i].cut_us < CUT_US)
+      counted += crash_suspects_crashed (runner->suspects,
+                                         runner->cuts[i].fingerprint, now_us);
+  runner->cut_count = 0;
+  if (counted > 0)
+    runner->handler.suspects_changed (runner->handler.ctx, counted);
+}
+
 /* --- ends of a run ----------------------------------------------------- */
 
 /* The run is over; what it leaves is kept or freed.  */
@@ -374,6 +431,7 @@
       = (uint32_t)(run->runner->loop->now_us - run->entry.started_us);
   if (run->reply.length < 0 && !run->replied)
     run->reply.length = (int64_t)bytes_size (&run->reply_body);
+  clear_suspect (run);
   give_slot_back (run, true);
   run_complete (run);
 }
@@ -386,6 +444,8 @@
   run_t *run = ctx;
   runner_t *runner = run->runner;
 
+  if (fault == HTTP_FAULT_STALE || fault == HTTP_FAULT_CUT)
+    note_cut (run);
   if (fault == HTTP_FAULT_STALE && run->sink.ctx != NULL && !run->once
       && !run->fresh)
     {
@@ -421,8 +481,10 @@
     runner->handler.faulted (runner->handler.ctx, run->attempt_id,
                              run->server_id, cause);
   run_fail (run, failure, cause);
-  if (fault == HTTP_FAULT_CONNECT)
-    runner->handler.server_lost (runner->handler.ctx, NULL);
+  if (fault != HTTP_FAULT_CONNECT)
+    return;
+  count_crash (runner);
+  runner->handler.server_lost (runner->handler.ctx, NULL);
 }
 
 /* --- starting ---------------------------------------------------------- */
@@ -500,6 +562,8 @@
   run->sink = *sink;
   run->listening = true;
   run->from_backend = call->from_backend;
+  run->fingerprint = crash_fingerprint (call->account, call->target,
+                                        call->body, call->body_size);
   run->no_body = strcmp (call->method, "HEAD") == 0;
   run->deadline_us = call->deadline_us;
   run->reply.length = -1;
@@ -613,6 +677,12 @@
       && is_known (runner, call, sink, run, failure, &verdict))
     return verdict;
   run_t *made = run_new (runner, call, sink);
+  if (crash_suspects_refuses (runner->suspects, made->fingerprint,
+                              runner->loop->now_us))
+    {
+      run_free (made);
+      return refuse_now (runner, failure, FAILURE_REFUSED, CAUSE_SUSPECT);
+    }
   switch (intake_offer (runner->intake, &made->entry, runner->loop->now_us,
                         &cause))
     {
@@ -766,7 +836,7 @@
 runner_t *
 runner_new (loop_t *loop, const dialect_t *dialect, endpoint_addr_t server,
             uint64_t incarnation, call_learner_t *learner,
-            const runner_handler_t *handler)
+            crash_suspects_t *suspects, const runner_handler_t *handler)
 {
   runner_t *runner = calloc (1, sizeof *runner);
   if (runner == NULL)
@@ -777,6 +847,7 @@
   runner->dialect = dialect;
   runner->incarnation = incarnation;
   runner->learner = learner;
+  runner->suspects = suspects;
   runner->handler = *handler;
   runner->kept_last = &runner->kept_first;
   runner->client = http_client_new (loop, server, &options);
@@ -807,7 +878,10 @@
                    const char *server_id)
 {
   if (strcmp (runner->server_id, server_id) != 0)
-    http_client_forget (runner->client);
+    {
+      count_crash (runner);
+      http_client_forget (runner->client);
+    }
   snprintf (runner->server_id, sizeof runner->server_id, "%s", server_id);
   intake_set_server (runner->intake, server, runner->loop->now_us);
 }
--- a/src/edge/runner.h
+++ b/src/edge/runner.h
@@ -8,6 +8,7 @@
 #include "edge/http_client.h"
 #include "mesh/call.h"
 #include "mesh/call_learner.h"
+#include "mesh/crash_suspects.h"
 #include "mesh/dialect.h"
 #include "mesh/intake.h"
 #include "mesh/server_view.h"
@@ -23,6 +24,9 @@
   /* A run has ended with FAULT, for the log.  */
   void (*faulted) (void *ctx, const char *attempt_id, const char *server_id,
                    cause_t cause);
+  /* The backend server has crashed; what ran is suspect (COUNT of them), or
+     a suspect has been cleared (0).  */
+  void (*suspects_changed) (void *ctx, uint32_t count);
   void *ctx; /* borrowed */
 } runner_handler_t;
 
@@ -30,7 +34,7 @@
    earlier call can be answered.  */
 runner_t *runner_new (loop_t *loop, const dialect_t *dialect,
                       endpoint_addr_t server, uint64_t incarnation,
-                      call_learner_t *learner,
+                      call_learner_t *learner, crash_suspects_t *suspects,
                       const runner_handler_t *handler);
 void runner_free (runner_t *runner);
 
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -59,6 +59,8 @@
   uint32_t near_count;
   mesh_demand far[REPORT_LIST_MAX]; /* to the others, less often */
   uint32_t far_count;
+  mesh_suspect suspects[SUSPECTS_MAX];
+  uint32_t suspect_count;
 } fleet_tell_t;
 
 struct sidecar_t
@@ -74,6 +76,7 @@
   call_graph_t *graph;
   call_learner_t *learner;
   quota_t *quota;
+  crash_suspects_t *suspects;
   runner_t *runner;
   serve_t serve;
   backend_watch_t *watch;
@@ -187,6 +190,26 @@
   put_demand (tell->far, &tell->far_count, &demand);
 }
 
+static void
+add_suspect (void *ctx, const suspect_news_t *news)
+{
+  fleet_tell_t *tell = &((sidecar_t *)ctx)->tell;
+  tell->suspects[tell->suspect_count++]
+      = (mesh_suspect){ news->fingerprint, news->epoch, news->crashes };
+}
+
+static void
+take_suspects (sidecar_t *sidecar, const mesh_identity *identity)
+{
+  for (u_int i = 0; i < identity->suspects.suspects_len; i++)
+    {
+      const mesh_suspect *suspect = &identity->suspects.suspects_val[i];
+      suspect_news_t news
+          = { suspect->fingerprint, suspect->epoch, suspect->crashes };
+      crash_suspects_merge (sidecar->suspects, &news, sidecar->loop.now_us);
+    }
+}
+
 static void
 take_ratio (sidecar_t *sidecar, const mesh_ratio *ratio)
 {
@@ -203,6 +226,10 @@
   fleet_tell_t *tell = &sidecar->tell;
   placement_server_t server;
   own_server (sidecar, &server);
+  tell->suspect_count = 0;
+  if (whole)
+    crash_suspects_each (sidecar->suspects, sidecar->loop.now_us, add_suspect,
+                         sidecar);
   sidecar->identity = (mesh_identity){
     .incarnation = sidecar->incarnation,
     .config_version = operator_feed_version (sidecar->operators),
@@ -212,6 +239,7 @@
     .server = (char *)server.server_id,
     .accepting = server.accepting,
     .slots = server.slots,
+    .suspects = { tell->suspect_count, tell->suspects },
   };
   *report = (mesh_report){
     .identity = whole ? &sidecar->identity : NULL,
@@ -263,6 +291,7 @@
   };
   placement_put (sidecar->placement, &server, sidecar->loop.now_us);
   members_heard (sidecar->members, peer_vm (peer));
+  take_suspects (sidecar, identity);
   bool far = strcmp (identity->zone, sidecar->settings.zone) != 0;
   peer_set_far (peer, far);
   note_state (sidecar, peer_vm (peer), far, identity->config_version,
@@ -453,6 +482,17 @@
              cause_name (cause));
 }
 
+static void
+on_suspects (void *ctx, uint32_t count)
+{
+  sidecar_t *sidecar = ctx;
+  event_log (&sidecar->log, EVENT_BELIEF,
+             count > 0 ? "backend-crashed" : "suspect-cleared",
+             "suspects=%u server=%s", count,
+             backend_watch_view (sidecar->watch)->id);
+  beliefs_changed (sidecar);
+}
+
 /* --- readiness and metrics --------------------------------------------- */
 
 static bool
@@ -763,7 +803,8 @@
   const dialect_t *dialect = sidecar->dialect;
   const sidecar_settings_t *settings = &sidecar->settings;
   int64_t window_us = (int64_t)(settings->rate_window_s * US_PER_S);
-  runner_handler_t runner = { on_server_lost, on_faulted, sidecar };
+  runner_handler_t runner
+      = { on_server_lost, on_faulted, on_suspects, sidecar };
   peer_handler_t peers
       = { make_report, on_report,        on_down,     on_call, on_cancel,
           on_credit,   on_want_document, on_document, sidecar };
@@ -775,9 +816,10 @@
   sidecar->quota = quota_new (window_us);
   sidecar->graph = call_graph_new ();
   sidecar->learner = call_learner_new ();
+  sidecar->suspects = crash_suspects_new ();
   sidecar->runner
       = runner_new (loop, dialect, settings->backend, sidecar->incarnation,
-                    sidecar->learner, &runner);
+                    sidecar->learner, sidecar->suspects, &runner);
   sidecar->serve = (serve_t){ sidecar->runner, settings->service };
   sidecar->watch
       = backend_watch_new (loop, dialect, sidecar->runner, settings->service,
@@ -794,6 +836,7 @@
     .graph = sidecar->graph,
     .learner = sidecar->learner,
     .quota = sidecar->quota,
+    .suspects = sidecar->suspects,
     .peers = sidecar->peers,
     .runner = sidecar->runner,
     .service = settings->service,
@@ -879,6 +922,7 @@
   backend_watch_free (sidecar->watch);
   runner_free (sidecar->runner);
   quota_free (sidecar->quota);
+  crash_suspects_free (sidecar->suspects);
   call_learner_free (sidecar->learner);
   call_graph_free (sidecar->graph);
   placement_free (sidecar->placement);
--- a/src/mesh/mesh_proto.h
+++ b/src/mesh/mesh_proto.h
@@ -60,6 +60,13 @@
 };
 typedef struct mesh_demand mesh_demand;
 
+struct mesh_suspect {
+	u_quad_t fingerprint;
+	u_int epoch;
+	u_int crashes;
+};
+typedef struct mesh_suspect mesh_suspect;
+
 struct mesh_identity {
 	u_quad_t vm;
 	u_quad_t incarnation;
@@ -70,6 +77,10 @@
 	mesh_name server;
 	u_int accepting;
 	u_int slots;
+	struct {
+		u_int suspects_len;
+		mesh_suspect *suspects_val;
+	} suspects;
 };
 typedef struct mesh_identity mesh_identity;
 
@@ -179,6 +190,7 @@
 extern  bool_t xdr_mesh_load (XDR *, mesh_load*);
 extern  bool_t xdr_mesh_ratio (XDR *, mesh_ratio*);
 extern  bool_t xdr_mesh_demand (XDR *, mesh_demand*);
+extern  bool_t xdr_mesh_suspect (XDR *, mesh_suspect*);
 extern  bool_t xdr_mesh_identity (XDR *, mesh_identity*);
 extern  bool_t xdr_mesh_report (XDR *, mesh_report*);
 extern  bool_t xdr_mesh_call (XDR *, mesh_call*);
@@ -194,6 +206,7 @@
 extern bool_t xdr_mesh_load ();
 extern bool_t xdr_mesh_ratio ();
 extern bool_t xdr_mesh_demand ();
+extern bool_t xdr_mesh_suspect ();
 extern bool_t xdr_mesh_identity ();
 extern bool_t xdr_mesh_report ();
 extern bool_t xdr_mesh_call ();
--- a/src/mesh/mesh_proto.x
+++ b/src/mesh/mesh_proto.x
@@ -45,6 +45,13 @@
   unsigned int admitted;
 };
 
+struct mesh_suspect
+{
+  unsigned hyper fingerprint;
+  unsigned int epoch;
+  unsigned int crashes;
+};
+
 struct mesh_identity
 {
   unsigned hyper vm;
@@ -56,6 +63,7 @@
   mesh_name server;
   unsigned int accepting;
   unsigned int slots;
+  mesh_suspect suspects<MESH_LIST_MAX>;
 };
 
 struct mesh_report
--- a/src/mesh/mesh_proto_xdr.c
+++ b/src/mesh/mesh_proto_xdr.c
@@ -110,6 +110,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_mesh_suspect (XDR *xdrs, mesh_suspect *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->crashes))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_mesh_identity (XDR *xdrs, mesh_identity *objp)
 {
@@ -133,6 +147,9 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->slots))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->suspects.suspects_val, (u_int *) &objp->suspects.suspects_len, MESH_LIST_MAX,
+		sizeof (mesh_suspect), (xdrproc_t) xdr_mesh_suspect))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/tests/mesh_edge_test.cc
+++ b/tests/mesh_edge_test.cc
@@ -368,6 +368,8 @@
   call_graph_t *graph = call_graph_new ();
   call_learner_t *learner = call_learner_new ();
   quota_t *quota = quota_new (5 * US_PER_S);
+  crash_suspects_t *suspects = crash_suspects_new ();
+  uint32_t crashes = 0;
   peer_set_t *peers = nullptr;
   entry_point_t *entry = nullptr;
   http_server_t *callers = nullptr;
@@ -385,9 +387,13 @@
     const dialect_t *dialect = platform_dialect ();
     runner_handler_t on_runner
         = { [] (void *ctx, const char *) { ((Sidecar *)ctx)->lost++; },
-            [] (void *, const char *, const char *, cause_t) {}, this };
+            [] (void *, const char *, const char *, cause_t) {},
+            [] (void *ctx, uint32_t count) {
+              ((Sidecar *)ctx)->crashes += count;
+            },
+            this };
     runner = runner_new (loop, dialect, loopback (backend), incarnation,
-                         learner, &on_runner);
+                         learner, suspects, &on_runner);
     serve = { runner, this->service.c_str () };
     placement = placement_new ("z", rng, loop->now_us);
     peer_handler_t on_peer
@@ -395,19 +401,11 @@
             on_credit,   on_want,   on_document, this };
     peers = peer_set_new (loop, loopback (port), &on_peer, &error);
     EXPECT_NE (nullptr, peers) << error.message;
-    entry_parts_t parts = { loop,
-                            dialect,
-                            rng,
-                            log,
-                            placement,
-                            graph,
-                            learner,
-                            quota,
-                            peers,
-                            runner,
-                            this->service.c_str (),
-                            0.2,
-                            0 };
+    entry_parts_t parts
+        = { loop,      dialect, rng,     log,
+            placement, graph,   learner, quota,
+            suspects,  peers,   runner,  this->service.c_str (),
+            0.2,       0 };
     entry = entry_new (&parts);
     http_limits_t made = limits ();
     http_handler_t handler = entry_handler (entry);
@@ -420,6 +418,7 @@
     entry_free (entry);
     runner_free (runner);
     quota_free (quota);
+    crash_suspects_free (suspects);
     placement_free (placement);
     call_graph_free (graph);
     call_learner_free (learner);
@@ -596,6 +595,41 @@
   EXPECT_TRUE (backend->targets.empty ());
 }
 
+/* What ran when the server went is counted once another instance is there;
+   an answer clears it.  */
+TEST_F (Two, ARunThatTheServerCutIsCountedWhenTheServerIsGone)
+{
+  Caller caller (http_server_port (a->callers));
+  caller.send (request ("POST", "/book/1", "id-1"));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  http_abort (backend->open[0]);
+  backend->open.clear ();
+  ASSERT_TRUE (wait ([&] { return caller.has ("\r\n\r\n"); }));
+  EXPECT_EQ (0u, b->crashes) << "the server may still be there";
+  b->set_backend ("i2");
+  EXPECT_EQ (1u, b->crashes);
+  EXPECT_FALSE (crash_suspects_is_empty (b->suspects));
+}
+
+TEST_F (Two, AHeldRequestReachesNoServer)
+{
+  uint64_t fingerprint = crash_fingerprint ("", "/read/1", "", 0);
+  for (int i = 1; i <= SUSPECT_CRASHES; i++)
+    crash_suspects_crashed (b->suspects, fingerprint,
+                            loop.now_us
+                                - (SUSPECT_CRASHES - i) * 2 * US_PER_S);
+  Caller caller (http_server_port (a->callers));
+  caller.send (request ("GET", "/read/1", "id-1"));
+  ASSERT_TRUE (wait ([&] { return caller.has ("crash-suspect"); }));
+  EXPECT_EQ (0u, caller.got.find ("HTTP/1.1 503")) << caller.got;
+  EXPECT_TRUE (backend->targets.empty ());
+  Caller other (http_server_port (a->callers));
+  other.send (request ("GET", "/read/2", "id-2"));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  answer_signed (backend->open[0], "id-2", "hello");
+  ASSERT_TRUE (wait ([&] { return other.has ("hello"); }));
+}
+
 struct AnswerRow
 {
   const char *name;
