--- a/src/choose.c
+++ b/src/choose.c
@@ -384,6 +384,16 @@
     measure_failure (choose, server, result != RUN_OK, now_us);
 }
 
+void
+choose_told_slow (choose_t *choose, vm_id_t vm, double slow, int64_t now_us)
+{
+  server_t *server = find (choose, vm);
+  if (server == NULL)
+    return;
+  server->told_slow = slow;
+  server->told_slow_us = now_us;
+}
+
 uint32_t
 choose_count (const choose_t *choose)
 {
--- a/src/choose.h
+++ b/src/choose.h
@@ -70,6 +70,11 @@
                   int64_t latency_us, const choose_report_t *report,
                   int64_t now_us);
 
+/* The executing daemon tells how long its runs take for what was expected of
+   them, over all who send to it.  It goes before what was measured here.  */
+void choose_told_slow (choose_t *choose, vm_id_t vm, double slow,
+                       int64_t now_us);
+
 /* State of one server, for "redwingford status".  */
 typedef struct choose_status_t
 {
--- a/src/choose_impl.h
+++ b/src/choose_impl.h
@@ -18,7 +18,9 @@
   uint32_t reported; /* load of other callers, as of report_us */
   uint32_t window;
   int64_t report_us;
-  int64_t ramp_us; /* start of its ramp */
+  int64_t ramp_us;  /* start of its ramp */
+  double told_slow; /* by the server's daemon */
+  int64_t told_slow_us;
   double latency_us;
   int64_t latency_seen_us;
   double refusal_share;
--- a/src/choose_pick.c
+++ b/src/choose_pick.c
@@ -10,7 +10,8 @@
   SAMPLE_TRIES = 4,
   SLOW_MEMORY_US = 5 * US_PER_S,
   REFUSAL_MEMORY_US = 2 * US_PER_S,
-  REPORT_AGE_US = US_PER_S
+  REPORT_AGE_US = US_PER_S,
+  TOLD_SLOW_US = 3 * US_PER_S /* older words do not count */
 };
 
 static const double RAMP_FIRST = 0.05;
@@ -20,6 +21,7 @@
 static const double SLOW_BY_NATURE = 2;
 static const double SPILL_GAIN = 0.1; /* by which another zone must be less */
 static const double SLOW_MOST = 20;   /* times the others' latency */
+static const double SLOW_LEAST = 0.1; /* fast ones attract no more than that */
 
 double
 choose_ramp (const choose_t *choose, const server_t *server, int64_t now_us)
@@ -47,11 +49,14 @@
   return (server->in_flight + others + 1) / fmax (1, capacity);
 }
 
-/* Latency as a multiple of the other servers' mean, at least 1.  Fades, so
-   that a server which was slow is tried again.  */
+/* Latency as a multiple of the other servers' mean: as its daemon tells, or
+   as measured here, at least 1.  The latter fades, so that a server which was
+   slow is tried again.  */
 static double
 slowness (const choose_t *choose, const server_t *server, int64_t now_us)
 {
+  if (server->told_slow > 0 && now_us - server->told_slow_us < TOLD_SLOW_US)
+    return fmin (SLOW_MOST, fmax (SLOW_LEAST, server->told_slow));
   if (server->latency_us <= 0 || choose->latency_count < 2)
     return 1;
   double others = (choose->latency_sum_us - server->latency_us)
--- a/src/edge/metrics.c
+++ b/src/edge/metrics.c
@@ -57,6 +57,7 @@
   put (to, "backend_queued", load->queued);
   put (to, "backend_window", load->window);
   put (to, "backend_pressure_permille", load->pressure_permille);
+  put (to, "backend_slow_permille", load->slow_permille);
 }
 
 static void
--- a/src/edge/peer_stream.c
+++ b/src/edge/peer_stream.c
@@ -185,7 +185,7 @@
 load_from (const mesh_load *load)
 {
   return (server_load_t){ load->running, load->queued, load->window,
-                          load->pressure_permille };
+                          load->pressure_permille, load->slow_permille };
 }
 
 static bool
@@ -384,7 +384,7 @@
 load_to (const server_load_t *load)
 {
   return (mesh_load){ load->running, load->queued, load->window,
-                      load->pressure_permille };
+                      load->pressure_permille, load->slow_permille };
 }
 
 void
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -244,7 +244,7 @@
   *report = (mesh_report){
     .identity = whole ? &sidecar->identity : NULL,
     .load = { server.load.running, server.load.queued, server.load.window,
-              server.load.pressure_permille },
+              server.load.pressure_permille, server.load.slow_permille },
     .ratios = { tell->ratio_count, tell->ratios },
     .demands = { far ? tell->far_count : tell->near_count,
                  far ? tell->far : tell->near },
@@ -303,8 +303,9 @@
 {
   sidecar_t *sidecar = ctx;
   vm_id_t vm = peer_vm (peer);
-  server_load_t load = { report->load.running, report->load.queued,
-                         report->load.window, report->load.pressure_permille };
+  server_load_t load
+      = { report->load.running, report->load.queued, report->load.window,
+          report->load.pressure_permille, report->load.slow_permille };
   if (report->identity != NULL)
     take_identity (sidecar, peer, report->identity, &load);
   else
@@ -556,9 +557,9 @@
     return;
   sidecar->load_logged_us = now_us;
   event_log (&sidecar->log, EVENT_BELIEF, "load",
-             "running=%u queued=%u window=%u pressure=%u run-us=%lld",
+             "running=%u queued=%u window=%u pressure=%u slow=%u run-us=%lld",
              load.running, load.queued, load.window, load.pressure_permille,
-             (long long)runner_run_us (sidecar->runner));
+             load.slow_permille, (long long)runner_run_us (sidecar->runner));
 }
 
 /* How long a stop takes at most.  */
--- a/src/mesh/call.h
+++ b/src/mesh/call.h
@@ -42,6 +42,8 @@
   uint32_t queued;
   uint32_t window; /* in flight at most; 0 is "not told" */
   uint32_t pressure_permille;
+  uint32_t slow_permille; /* its runs' time for what was expected; 0 is "not
+                             told" */
 } server_load_t;
 
 typedef enum failure_t
--- a/src/mesh/intake.c
+++ b/src/mesh/intake.c
@@ -18,6 +18,10 @@
  */
 static const double WINDOW_SHARE = 0.95;
 static const double RUN_WEIGHT = 1.0 / 32; /* of one run in the mean */
+/* Bounds of one run's time for what was expected: a single one tells little.
+ */
+static const double SLOW_LEAST = 0.05;
+static const double SLOW_MOST = 20;
 /* Steps of the admitted share, as parts of itself.  A change shows after the
    time that a tree of calls takes, about a second; larger steps than about a
    half in that time swing back and forth.  */
@@ -36,6 +40,7 @@
   int64_t calls_work_us; /* that is queued */
   int64_t callers_work_us;
   double run_us;
+  double slow; /* mean of the runs' time for what was expected of them */
   double cold_tokens;
   int64_t cold_us; /* when cold_tokens were last counted */
   double admitted; /* share of the callers' requests */
@@ -68,6 +73,7 @@
   heap_init (&intake->calls, QUEUE_CAPACITY, due_before, call_place);
   intake->callers = queue_new (&options);
   intake->admitted = 1;
+  intake->slow = 1;
   intake->pressure_us = now_us;
   intake->cold_us = now_us;
   return intake;
@@ -197,7 +203,8 @@
     return (int64_t)((ahead + 1) * US_PER_S / intake->server.cold_per_s);
   if (ahead == 0 && intake->running < window (intake))
     return 0;
-  return (int64_t)((ahead_us + intake->run_us) / window (intake));
+  return (int64_t)((ahead_us * fmax (1, intake->slow) + intake->run_us)
+                   / window (intake));
 }
 
 /* Why the server takes nothing at all.  */
@@ -246,9 +253,10 @@
 
 /* When the run can no longer end in time.  */
 static int64_t
-hopeless_us (const intake_entry_t *entry)
+hopeless_us (const intake_t *intake, const intake_entry_t *entry)
 {
-  return entry->deadline_us - entry->expected_us;
+  double run_us = (double)entry->expected_us * fmax (1, intake->slow);
+  return entry->deadline_us - (int64_t)run_us;
 }
 
 /* Calls wait as long as they are of use: those of the oldest requests, on
@@ -258,7 +266,7 @@
             cause_t *cause)
 {
   *cause = CAUSE_QUEUE_FULL;
-  if (hopeless_us (entry) <= now_us)
+  if (hopeless_us (intake, entry) <= now_us)
     *cause = CAUSE_WAIT_TOO_LONG;
   else if (intake->calls.count < QUEUE_CAPACITY)
     {
@@ -275,7 +283,8 @@
 queue_caller (intake_t *intake, intake_entry_t *entry, int64_t now_us,
               cause_t *cause)
 {
-  int64_t bound_us = earlier (entry->wait_us, hopeless_us (entry) - now_us);
+  int64_t bound_us
+      = earlier (entry->wait_us, hopeless_us (intake, entry) - now_us);
   *cause = CAUSE_WAIT_TOO_LONG;
   if (wait_us (intake, false, now_us) > bound_us)
     {
@@ -333,7 +342,7 @@
       intake_entry_t *entry = take_call (intake);
       if (entry == NULL)
         entry = taken_off (intake, queue_pop (intake->callers, now_us));
-      else if (hopeless_us (entry) <= now_us)
+      else if (hopeless_us (intake, entry) <= now_us)
         {
           refuse (intake, entry, CAUSE_WAIT_TOO_LONG);
           continue;
@@ -343,6 +352,19 @@
     }
 }
 
+static void
+measure_run (intake_t *intake, const intake_entry_t *entry, double run_us)
+{
+  if (intake->run_us <= 0)
+    intake->run_us = run_us;
+  intake->run_us += (run_us - intake->run_us) * RUN_WEIGHT;
+  if (entry->expected_us <= 0)
+    return;
+  double slow = run_us / (double)entry->expected_us;
+  slow = fmin (SLOW_MOST, fmax (SLOW_LEAST, slow));
+  intake->slow += (slow - intake->slow) * RUN_WEIGHT;
+}
+
 void
 intake_finished (intake_t *intake, intake_entry_t *entry, bool ran,
                  int64_t now_us)
@@ -351,10 +373,8 @@
   entry->running = false;
   intake->running--;
   double run_us = (double)(now_us - entry->started_us);
-  if (ran && intake->run_us <= 0)
-    intake->run_us = run_us;
-  else if (ran)
-    intake->run_us += (run_us - intake->run_us) * RUN_WEIGHT;
+  if (ran)
+    measure_run (intake, entry, run_us);
   start_waiting (intake, now_us);
 }
 
@@ -391,7 +411,7 @@
   queue_entry_t *expired;
   const intake_entry_t *call;
   while ((call = heap_top (&intake->calls)) != NULL
-         && hopeless_us (call) <= now_us)
+         && hopeless_us (intake, call) <= now_us)
     refuse (intake, take_call (intake), CAUSE_WAIT_TOO_LONG);
   while ((expired = queue_expired (intake->callers, now_us)) != NULL)
     refuse (intake, taken_off (intake, expired), CAUSE_WAIT_TOO_LONG);
@@ -429,6 +449,7 @@
     .queued = queued (intake),
     .window = window (intake),
     .pressure_permille = (uint32_t)((1 - intake->admitted) * 1000),
+    .slow_permille = (uint32_t)(intake->slow * 1000),
   };
 }
 
--- a/src/mesh/mesh_proto.h
+++ b/src/mesh/mesh_proto.h
@@ -42,6 +42,7 @@
 	u_int queued;
 	u_int window;
 	u_int pressure_permille;
+	u_int slow_permille;
 };
 typedef struct mesh_load mesh_load;
 
--- a/src/mesh/mesh_proto.x
+++ b/src/mesh/mesh_proto.x
@@ -28,6 +28,7 @@
   unsigned int queued;
   unsigned int window;
   unsigned int pressure_permille;
+  unsigned int slow_permille;
 };
 
 struct mesh_ratio
--- a/src/mesh/mesh_proto_xdr.c
+++ b/src/mesh/mesh_proto_xdr.c
@@ -32,7 +32,7 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->running))
 				 return FALSE;
@@ -42,15 +42,18 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->pressure_permille))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->slow_permille))
+				 return FALSE;
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->running);
 			IXDR_PUT_U_LONG(buf, objp->queued);
 			IXDR_PUT_U_LONG(buf, objp->window);
 			IXDR_PUT_U_LONG(buf, objp->pressure_permille);
+			IXDR_PUT_U_LONG(buf, objp->slow_permille);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->running))
 				 return FALSE;
@@ -60,11 +63,14 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->pressure_permille))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->slow_permille))
+				 return FALSE;
 		} else {
 			objp->running = IXDR_GET_U_LONG(buf);
 			objp->queued = IXDR_GET_U_LONG(buf);
 			objp->window = IXDR_GET_U_LONG(buf);
 			objp->pressure_permille = IXDR_GET_U_LONG(buf);
+			objp->slow_permille = IXDR_GET_U_LONG(buf);
 		}
 	 return TRUE;
 	}
@@ -77,6 +83,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->pressure_permille))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slow_permille))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/mesh/placement.c
+++ b/src/mesh/placement.c
@@ -153,6 +153,18 @@
                      &server, now_us);
 }
 
+static void
+take_load (placement_t *placement, member_t *member, const server_load_t *load,
+           int64_t now_us)
+{
+  service_t *service = service_find (placement, member->service);
+  member->pressure_permille = load->pressure_permille;
+  member->told_us = now_us;
+  if (service != NULL && load->slow_permille > 0)
+    choose_told_slow (service->choose, member->vm,
+                      load->slow_permille / 1000.0, now_us);
+}
+
 void
 placement_put (placement_t *placement, const placement_server_t *server,
                int64_t now_us)
@@ -177,10 +189,9 @@
   member->zone = zone;
   member->slots = server->slots;
   member->accepting = server->accepting;
-  member->pressure_permille = server->load.pressure_permille;
-  member->told_us = now_us;
   if (changed)
     tell_choose (placement, member, now_us);
+  take_load (placement, member, &server->load, now_us);
 }
 
 void
@@ -188,10 +199,8 @@
                     const server_load_t *load, int64_t now_us)
 {
   member_t *member = member_find (placement, vm);
-  if (member == NULL)
-    return;
-  member->pressure_permille = load->pressure_permille;
-  member->told_us = now_us;
+  if (member != NULL)
+    take_load (placement, member, load, now_us);
 }
 
 void
@@ -248,10 +257,7 @@
                load->window > 0 ? &report : NULL, now_us);
   member_t *member = member_find (placement, vm);
   if (member != NULL && load->window > 0)
-    {
-      member->pressure_permille = load->pressure_permille;
-      member->told_us = now_us;
-    }
+    take_load (placement, member, load, now_us);
 }
 
 uint32_t
--- a/tests/mesh_decisions_test.cc
+++ b/tests/mesh_decisions_test.cc
@@ -764,9 +764,9 @@
   rng_t rng = rng_seeded (3);
   placement_t *placement = placement_new ("z1", &rng, 0);
   placement_server_t server
-      = { 1, 1, "s", "z1", "i1", 10, true, { 0, 0, 10, 900 } };
+      = { 1, 1, "s", "z1", "i1", 10, true, { 0, 0, 10, 900, 0 } };
   placement_put (placement, &server, US_PER_S);
-  server = { 2, 1, "s", "z2", "i2", 30, true, { 0, 0, 30, 100 } };
+  server = { 2, 1, "s", "z2", "i2", 30, true, { 0, 0, 30, 100, 0 } };
   placement_put (placement, &server, US_PER_S);
   EXPECT_NEAR (0.3, placement_pressure (placement, "s", US_PER_S), 0.001);
   EXPECT_EQ (2u, placement_accepting (placement, "s"));
--- a/tests/mesh_edge_test.cc
+++ b/tests/mesh_edge_test.cc
@@ -456,7 +456,7 @@
             report->identity->server,
             report->identity->slots,
             report->identity->accepting != 0,
-            { 0, 0, 10, report->load.pressure_permille } };
+            { 0, 0, 10, report->load.pressure_permille, 0 } };
     placement_put (self->placement, &server, self->loop->now_us);
   }
   static void
