--- a/src/mesh/intake.c
+++ b/src/mesh/intake.c
@@ -11,6 +11,9 @@
   QUEUE_CAPACITY = 2048, /* entries; bounds memory, waits are bounded first */
   PRESSURE_PERIOD_US = 100 * US_PER_MS, /* between two steps of pressure */
   WAIT_AIM_US = 40 * US_PER_MS, /* of calls, while the server is loaded */
+  /* In which idle slots are to be filled again: a tree of calls takes about a
+     second, and what is admitted faster than it shows comes twice.  */
+  REFILL_US = 1500 * US_PER_MS,
   COLD_BURST = 4 /* requests at once after a quiet time on a cold server */
 };
 
@@ -26,8 +29,12 @@
    time that a tree of calls takes, about a second; larger steps than about a
    half in that time swing back and forth.  */
 static const double ADMIT_DOWN = 0.06;
-static const double ADMIT_UP = 0.03;
-static const double ADMIT_LEAST = 0.005;   /* some always pass, to sense */
+static const double ADMIT_UP = 0.03; /* while cold, when idle says nothing */
+static const double ADMIT_CREEP = 0.004;  /* while all slots are in use */
+static const double ADMIT_UP_MOST = 0.12; /* while nearly all are idle */
+static const double IDLE_WEIGHT = 0.3;    /* of one step in the mean */
+static const double USED_LEAST = 0.01;   /* share of the slots; less is none */
+static const double ADMIT_LEAST = 0.005; /* some always pass, to sense */
 static const double COLD_RATE_SHARE = 1.1; /* of the rate that is borne */
 
 struct intake_t
@@ -46,6 +53,9 @@
   double admitted; /* share of the callers' requests */
   int64_t pressure_us;
   uint32_t calls_refused; /* since the last step of pressure */
+  int64_t busy_us;        /* of all slots, since the last step */
+  int64_t counted_us;     /* up to when */
+  double idle;            /* share of the window, averaged */
 };
 
 static bool
@@ -75,6 +85,7 @@
   intake->admitted = 1;
   intake->slow = 1;
   intake->pressure_us = now_us;
+  intake->counted_us = now_us;
   intake->cold_us = now_us;
   return intake;
 }
@@ -128,11 +139,19 @@
   return !intake_is_cold (intake, now_us) || intake->cold_tokens >= 1;
 }
 
+static void
+count_busy (intake_t *intake, int64_t now_us)
+{
+  intake->busy_us += intake->running * (now_us - intake->counted_us);
+  intake->counted_us = now_us;
+}
+
 static void
 start (intake_t *intake, intake_entry_t *entry, int64_t now_us)
 {
   if (intake_is_cold (intake, now_us))
     intake->cold_tokens -= 1;
+  count_busy (intake, now_us);
   entry->running = true;
   entry->started_us = now_us;
   intake->running++;
@@ -370,6 +389,7 @@
                  int64_t now_us)
 {
   INVARIANT (entry->running, "an entry that does not run has finished");
+  count_busy (intake, now_us);
   entry->running = false;
   intake->running--;
   double run_us = (double)(now_us - entry->started_us);
@@ -388,9 +408,33 @@
   count_work (intake, entry, -1);
 }
 
+/* The share of the slots that was idle since it was last measured.  */
+static void
+measure_idle (intake_t *intake, int64_t now_us)
+{
+  int64_t span_us = now_us - intake->pressure_us;
+  count_busy (intake, now_us);
+  double most_us = (double)window (intake) * (double)span_us;
+  double idle = 1 - fmin (1, (double)intake->busy_us / most_us);
+  intake->busy_us = 0;
+  intake->idle += (idle - intake->idle) * IDLE_WEIGHT;
+}
+
+/* The step up, WAIT_ROOM being what is left to the aim, 0 to 1.  */
+static double
+step_up (const intake_t *intake, double wait_room)
+{
+  if (intake_is_cold (intake, intake->pressure_us))
+    return ADMIT_UP * wait_room;
+  double missing = intake->idle / fmax (USED_LEAST, 1 - intake->idle);
+  double refill = missing * PRESSURE_PERIOD_US / REFILL_US;
+  return fmax (ADMIT_CREEP * wait_room, fmin (ADMIT_UP_MOST, refill));
+}
+
 /* Calls that wait longer than is aimed at lower the share of callers'
-   requests that is admitted at their entry points, shorter waits raise it.
-   By factors, so that any surplus of demand is met equally fast.  */
+   requests that is admitted at their entry points.  Idle slots raise it, by
+   as much as fills them.  By factors, so that any surplus of demand is met
+   equally fast.  */
 static void
 step_pressure (intake_t *intake)
 {
@@ -401,7 +445,10 @@
   intake->calls_refused = 0;
   if (!intake->server.known)
     excess = -1;
-  intake->admitted *= 1 - excess * (excess > 0 ? ADMIT_DOWN : ADMIT_UP);
+  if (excess > 0)
+    intake->admitted *= 1 - excess * ADMIT_DOWN;
+  else
+    intake->admitted *= 1 + step_up (intake, -excess);
   intake->admitted = fmin (1, fmax (ADMIT_LEAST, intake->admitted));
 }
 
@@ -434,6 +481,8 @@
 {
   start_waiting (intake, now_us);
   refuse_expired (intake, now_us);
+  if (now_us - intake->pressure_us >= PRESSURE_PERIOD_US)
+    measure_idle (intake, now_us);
   for (; now_us - intake->pressure_us >= PRESSURE_PERIOD_US;
        intake->pressure_us += PRESSURE_PERIOD_US)
     step_pressure (intake);
--- a/tests/mesh_decisions_test.cc
+++ b/tests/mesh_decisions_test.cc
@@ -571,6 +571,88 @@
   EXPECT_EQ (0u, second (0));
 }
 
+/* Replays a narrow service deep in the tree whose callers obey its pressure.
+   What is admitted shows as calls a tree's time later.  */
+struct Loop
+{
+  static const int RUN_MS = 50;
+  static const int TREE_MS = 400; /* from the entry to the narrow service */
+  Server server;
+  std::deque<double> admitted; /* of each millisecond, the latest last */
+  std::vector<intake_entry_t *> running;
+  double owed = 0; /* calls that are due and not whole yet */
+  int64_t busy_us = 0;
+
+  Loop () : admitted (TREE_MS, 1) {}
+  /* One second of DEMAND calls a millisecond before what is refused.  Returns
+     the share of the slots that was in use.  */
+  double
+  second (double demand)
+  {
+    busy_us = 0;
+    for (int ms = 0; ms < 1000; ms++)
+      {
+        cause_t cause;
+        server.now_us += US_PER_MS;
+        uint32_t pressure = intake_load (server.intake).pressure_permille;
+        admitted.push_back (1 - pressure / 1000.0);
+        owed += demand * admitted.front ();
+        admitted.pop_front ();
+        for (; owed >= 1; owed--)
+          {
+            intake_entry_t *entry = server.make (true, 700 * US_PER_MS);
+            if (server.offer (entry, &cause) == INTAKE_START)
+              server.started.push_back (entry);
+          }
+        end_runs ();
+        intake_tick (server.intake, server.now_us);
+        busy_us += server.started.size () * US_PER_MS;
+      }
+    return (double)busy_us / US_PER_S / intake_load (server.intake).window;
+  }
+  void
+  end_runs ()
+  {
+    std::vector<intake_entry_t *> before;
+    before.swap (server.started);
+    for (intake_entry_t *entry : before)
+      if (server.now_us - entry->started_us < RUN_MS * US_PER_MS)
+        running.push_back (entry);
+      else
+        intake_finished (server.intake, entry, true, server.now_us);
+    for (intake_entry_t *entry : running)
+      server.started.push_back (entry);
+    running.clear ();
+  }
+};
+
+/* After a cold start, or when other servers are back, the slots are idle
+   while the pressure is still high: what could run must not be refused for
+   long.  */
+TEST (IntakeLoop, IdleSlotsAreFilledAgainWithinThreeSeconds)
+{
+  Loop loop;
+  for (int i = 0; i < 12; i++)
+    loop.second (4); /* ten times what the slots run */
+  EXPECT_GT (intake_load (loop.server.intake).pressure_permille, 800u);
+  double used = 0;
+  for (int i = 0; i < 4; i++)
+    used = loop.second (0.3); /* three quarters of it */
+  EXPECT_GT (used, 0.7);
+}
+
+/* Half more than the slots run, for long.  */
+TEST (IntakeLoop, SlotsStayInUseUnderASteadySurplus)
+{
+  Loop loop;
+  for (int i = 0; i < 6; i++)
+    loop.second (0.57);
+  double used = 0;
+  for (int i = 0; i < 10; i++)
+    used += loop.second (0.57) / 10;
+  EXPECT_GT (used, 0.9);
+}
+
 /* --- what calls what --------------------------------------------------- */
 
 struct Learnt
