--- a/src/edge/peer.c
+++ b/src/edge/peer.c
@@ -199,10 +199,10 @@
 }
 
 peer_set_t *
-peer_set_new (loop_t *loop, endpoint_addr_t addr,
+peer_set_new (loop_t *loop, endpoint_addr_t addr, endpoint_addr_t bind,
               const peer_handler_t *handler, error_info_t *error)
 {
-  int fd = loop_listen (addr, error);
+  int fd = loop_listen (bind.port != 0 ? bind : addr, error);
   if (fd < 0)
     return NULL;
   peer_set_t *peers = calloc (1, sizeof *peers);
@@ -210,7 +210,7 @@
     abort ();
   struct sockaddr_in at = { 0 };
   socklen_t size = sizeof at;
-  if (getsockname (fd, (struct sockaddr *)&at, &size) == 0)
+  if (bind.port == 0 && getsockname (fd, (struct sockaddr *)&at, &size) == 0)
     addr.port = ntohs (at.sin_port);
   peers->loop = loop;
   peers->handler = *handler;
--- a/src/edge/peer.h
+++ b/src/edge/peer.h
@@ -44,9 +44,11 @@
   void *ctx; /* borrowed */
 } peer_handler_t;
 
-/* Listens on ADDR, which names this sidecar.  */
+/* ADDR names this sidecar to the others.  Listens there, or on BIND if its
+   port is not 0.  */
 peer_set_t *peer_set_new (loop_t *loop, endpoint_addr_t addr,
-                          const peer_handler_t *handler, error_info_t *error);
+                          endpoint_addr_t bind, const peer_handler_t *handler,
+                          error_info_t *error);
 void peer_set_free (peer_set_t *peers);
 
 /* The address that was bound.  */
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -825,7 +825,8 @@
   sidecar->watch
       = backend_watch_new (loop, dialect, sidecar->runner, settings->service,
                            &sidecar->log, beliefs_changed, sidecar);
-  sidecar->peers = peer_set_new (loop, settings->peer, &peers, error);
+  sidecar->peers = peer_set_new (loop, settings->peer, settings->peer_bind,
+                                 &peers, error);
   if (sidecar->peers == NULL)
     return false;
   entry_parts_t entry = {
--- a/src/edge/sidecar_settings.c
+++ b/src/edge/sidecar_settings.c
@@ -39,6 +39,7 @@
   { "ready", KIND_ADDR, true, AT (ready), 0, 0, 0 },
   { "announce", KIND_ADDR, true, AT (announce), 0, 0, 0 },
   { "peer", KIND_ADDR, true, AT (peer), 0, 0, 0 },
+  { "peer_bind", KIND_ADDR, false, AT (peer_bind), 0, 0, 0 },
   { "metrics", KIND_ADDR, true, AT (metrics), 0, 0, 0 },
   { "backend", KIND_ADDR, true, AT (backend), 0, 0, 0 },
   { "store", KIND_ADDR, true, AT (store), 0, 0, 0 },
@@ -98,7 +99,7 @@
     return error_set (error, ERROR_SETTINGS, row->name, "is missing; add it");
   if (row->kind == KIND_COUNT)
     *(uint32_t *)to = (uint32_t)row->missing;
-  else
+  else if (row->kind == KIND_NUMBER)
     *(double *)to = row->missing;
   return true;
 }
--- a/src/edge/sidecar_settings.h
+++ b/src/edge/sidecar_settings.h
@@ -9,11 +9,12 @@
 {
   char node[NAME_BYTES];
   char zone[NAME_BYTES];
-  char service[NAME_BYTES]; /* of the backend server beside it */
-  endpoint_addr_t callers;  /* requests begin here */
-  endpoint_addr_t ready;    /* readiness checks */
-  endpoint_addr_t announce; /* backend servers announce themselves */
-  endpoint_addr_t peer;     /* links from other sidecars */
+  char service[NAME_BYTES];  /* of the backend server beside it */
+  endpoint_addr_t callers;   /* requests begin here */
+  endpoint_addr_t ready;     /* readiness checks */
+  endpoint_addr_t announce;  /* backend servers announce themselves */
+  endpoint_addr_t peer;      /* links from other sidecars; names this one */
+  endpoint_addr_t peer_bind; /* where they arrive, if not there; port 0 */
   endpoint_addr_t metrics;
   endpoint_addr_t backend; /* the backend server */
   endpoint_addr_t store;
--- a/tests/mesh_edge_test.cc
+++ b/tests/mesh_edge_test.cc
@@ -399,7 +399,7 @@
     peer_handler_t on_peer
         = { make_report, on_report, on_down,     on_call, on_cancel,
             on_credit,   on_want,   on_document, this };
-    peers = peer_set_new (loop, loopback (port), &on_peer, &error);
+    peers = peer_set_new (loop, loopback (port), {}, &on_peer, &error);
     EXPECT_NE (nullptr, peers) << error.message;
     entry_parts_t parts
         = { loop,      dialect, rng,     log,
--- a/tests/support_proc.c
+++ b/tests/support_proc.c
@@ -90,6 +90,28 @@
   return true;
 }
 
+bool
+proc_start_logged (proc_t *proc, const char *name, const char *const *args,
+                   int log)
+{
+  char path[PATH_MAX];
+  char *argv[PROC_ARGS_MAX + 2] = { path };
+  const char *build = getenv ("REDWINGFORD_BUILD");
+
+  memset (proc, 0, sizeof *proc);
+  snprintf (path, sizeof path, "%s/%s", build ? build : ".", name);
+  for (int i = 0; i < PROC_ARGS_MAX && args[i] != NULL; i++)
+    argv[i + 1] = (char *)args[i];
+  int in = open ("/dev/null", O_RDONLY | O_CLOEXEC);
+  proc->in = -1;
+  proc->out = -1;
+  proc->pid = fork ();
+  if (proc->pid == 0)
+    run_child (path, argv, in, log, true);
+  close (in);
+  return proc->pid > 0;
+}
+
 bool
 proc_start (proc_t *proc, const char *name, const char *const *args)
 {
@@ -148,8 +170,10 @@
         return -1;
       poll (NULL, 0, POLL_MS);
     }
-  close (proc->in);
-  close (proc->out);
+  if (proc->in >= 0)
+    close (proc->in);
+  if (proc->out >= 0)
+    close (proc->out);
   proc->pid = 0;
   return WIFEXITED (status) ? WEXITSTATUS (status) : 128 + WTERMSIG (status);
 }
--- a/tests/support_proc.h
+++ b/tests/support_proc.h
@@ -29,6 +29,10 @@
    it ended or was not ready in time.  */
 bool proc_start (proc_t *proc, const char *name, const char *const *args);
 
+/* The same without waiting; what it prints goes to the descriptor LOG.  */
+bool proc_start_logged (proc_t *proc, const char *name,
+                        const char *const *args, int log);
+
 /* The address after KEY ("listen=", or "" for the first) in the ready line;
    port 0 when it is not there.  */
 endpoint_addr_t proc_addr (const proc_t *proc, const char *key);
