--- /dev/null
+++ b/src/edge/entry_answer.c
@@ -0,0 +1,175 @@
+#include "edge/entry_impl.h"
+
+enum
+{
+  WINDOW_BYTES = 256 * 1024 /* of an answer that its caller has not read */
+};
+
+/* A failure of the server itself is worth another server's try.  */
+static bool
+tries_again (exchange_t *exchange, const call_reply_t *reply)
+{
+  if (reply->status < 500 || reply->status == 501 || reply->status == 504
+      || !exchange->idempotent)
+    return false;
+  /* Under load the cause is most likely further down, where another try only
+     adds to it.  */
+  if (exchange_is_pressed (exchange))
+    return false;
+  exchange->cause = CAUSE_CUT;
+  return exchange_may_repeat (exchange);
+}
+
+/* The caller sets the pace of a long answer.  */
+void
+exchange_take (exchange_t *exchange, size_t size)
+{
+  bool full = http_unread (exchange->http) > WINDOW_BYTES;
+  exchange->untaken += size;
+  if (exchange->run != NULL && full)
+    run_pause (exchange->run, true);
+  if (exchange->call == NULL || full)
+    return;
+  peer_call_took (exchange->call, exchange->untaken);
+  exchange->untaken = 0;
+}
+
+static void
+on_reply (void *ctx, const call_reply_t *reply, const char *body, size_t size,
+          bool last)
+{
+  exchange_t *exchange = ctx;
+  bool asked = exchange->step == STEP_ASKING;
+
+  if (last)
+    {
+      exchange->call = NULL;
+      exchange->run = NULL;
+    }
+  if (!asked)
+    exchange_told_done (exchange, reply->status < 500 ? RUN_OK : RUN_FAILED,
+                        reply->run_us, &reply->load);
+  if (last && tries_again (exchange, reply))
+    {
+      exchange->may_have_run = true;
+      exchange_place (exchange);
+      return;
+    }
+  exchange->step = STEP_ANSWERING;
+  http_exchange_t *http = exchange->http;
+  if (last)
+    {
+      exchange_count_end (exchange, ENTRY_ANSWERED);
+      exchange_free (exchange);
+      http_respond (http, reply->status, reply->fields, reply->fields_size,
+                    body, size);
+      return;
+    }
+  http_begin (http, reply->status, reply->fields, reply->fields_size,
+              reply->length);
+  http_piece (http, body, size);
+  exchange_take (exchange, size);
+}
+
+static void
+on_body (void *ctx, const char *data, size_t size, bool last)
+{
+  exchange_t *exchange = ctx;
+  http_exchange_t *http = exchange->http;
+  http_piece (http, data, size);
+  if (last)
+    {
+      exchange_count_end (exchange, ENTRY_ANSWERED);
+      exchange_free (exchange);
+      http_end (http);
+      return;
+    }
+  exchange_take (exchange, size);
+}
+
+static void
+refused (exchange_t *exchange, const call_failure_t *failure)
+{
+  entry_point_t *entry = exchange->entry;
+  exchange->cause = failure->cause;
+  /* Held everywhere; this sidecar has not heard of it yet.  */
+  if (failure->cause == CAUSE_SUSPECT)
+    {
+      exchange_give_up (exchange, ENTRY_SUSPECT);
+      return;
+    }
+  /* A server that was reached counts among those that are sent to again.  */
+  if (failure->cause == CAUSE_SERVER_SHED)
+    {
+      if (!retry_pool_take (entry_retry_pool (entry, exchange->service)))
+        {
+          exchange_give_up (exchange, ENTRY_NO_ROOM);
+          return;
+        }
+      entry->state.retries[failure->cause]++;
+    }
+  exchange_place (exchange);
+}
+
+/* Whether a question about an earlier sending was lost itself.  Only the
+   process that the sending went to can tell that it did not run.  */
+static bool
+is_no_answer (const call_failure_t *failure)
+{
+  return failure->cause == CAUSE_PEER_LOST || failure->cause == CAUSE_NO_PEER
+         || failure->cause == CAUSE_WRONG_SERVICE;
+}
+
+static void
+on_failed (void *ctx, const call_failure_t *failure)
+{
+  exchange_t *exchange = ctx;
+  bool asked = exchange->step == STEP_ASKING;
+  exchange->call = NULL;
+  exchange->run = NULL;
+  exchange->cause = failure->cause;
+  if (exchange->step == STEP_ANSWERING)
+    {
+      http_exchange_t *http = exchange->http;
+      exchange_count_end (exchange, ENTRY_BROKEN);
+      exchange_free (exchange);
+      http_abort (http);
+      return;
+    }
+  if (!asked)
+    exchange_told_done (exchange,
+                        failure->failure == FAILURE_REFUSED ? RUN_SHED
+                        : failure->failure == FAILURE_LOST  ? RUN_LOST
+                                                            : RUN_FAILED,
+                        0, &failure->load);
+  if (asked && is_no_answer (failure))
+    {
+      exchange_wait_to_ask (exchange);
+      return;
+    }
+  if (failure->failure == FAILURE_REFUSED)
+    {
+      refused (exchange, failure);
+      return;
+    }
+  /* What must run once is asked after, where it was sent.  */
+  if (failure->cause == CAUSE_PEER_LOST && !exchange->idempotent
+      && failure->failure == FAILURE_LOST)
+    {
+      exchange_ask (exchange);
+      return;
+    }
+  exchange->may_have_run = true;
+  if (exchange_may_repeat (exchange))
+    exchange_place (exchange);
+  else
+    exchange_finish (
+        exchange,
+        failure->failure == FAILURE_LOST ? ENTRY_UNKNOWN : ENTRY_BROKEN, 502);
+}
+
+call_sink_t
+exchange_sink (exchange_t *exchange)
+{
+  return (call_sink_t){ on_reply, on_body, on_failed, exchange };
+}
--- /dev/null
+++ b/src/edge/entry_end.c
@@ -0,0 +1,119 @@
+#include "edge/entry_impl.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "mesh/admission.h"
+
+enum
+{
+  FIELD_BYTES = 256
+};
+
+static const char *const end_names[ENTRY_END_COUNT] = {
+#define ENTRY_END_NAME(id, name) [ENTRY_##id] = (name),
+  ENTRY_END_TABLE (ENTRY_END_NAME)
+#undef ENTRY_END_NAME
+};
+
+const char *
+entry_end_name (entry_end_t end)
+{
+  return end_names[end];
+}
+
+static void
+count_latency (entry_point_t *entry, int64_t us)
+{
+  uint32_t bucket = 0;
+  while (us > 1 && bucket < 23)
+    {
+      us >>= 1;
+      bucket++;
+    }
+  entry->state.latency_us[bucket]++;
+}
+
+void
+exchange_free (exchange_t *exchange)
+{
+  entry_point_t *entry = exchange->entry;
+  ev_timer_stop (entry->parts.loop->ev, &exchange->timer);
+  if (exchange->http != NULL)
+    exchange->http->user = NULL;
+  bytes_free (&exchange->fields);
+  entry->state.open--;
+  free (exchange);
+}
+
+void
+exchange_count_end (exchange_t *exchange, entry_end_t end)
+{
+  entry_point_t *entry = exchange->entry;
+  const loop_t *loop = entry->parts.loop;
+  entry->state.ends[end]++;
+  if (end == ENTRY_ANSWERED)
+    {
+      count_latency (entry, loop->now_us - exchange->http->begun_us);
+      return;
+    }
+  event_log (
+      entry->parts.log, EVENT_REQUEST, "request-end",
+      "id=%s end=%s service=%s account=%s priority=%u call=%d "
+      "cause=%s vm=%llx places=%u age-ms=%lld left-ms=%lld "
+      "config=%llu route=%s pressed=%s pressure=%.3f "
+      "cost=%.2f",
+      exchange->attempt_id, end_names[end], exchange->service,
+      exchange->account, exchange->priority, exchange->from_backend,
+      exchange->cause < CAUSE_COUNT ? cause_name (exchange->cause) : "none",
+      (unsigned long long)exchange->vm, exchange->tried_count,
+      (long long)((loop->now_us - exchange->http->begun_us) / US_PER_MS),
+      (long long)((exchange->deadline_us - loop->now_us) / US_PER_MS),
+      (unsigned long long)(entry->policy != NULL ? entry->policy->version : 0),
+      exchange->route,
+      exchange->pressed[0] != '\0' ? exchange->pressed : "none",
+      exchange->pressure, exchange->cost);
+}
+
+double
+entry_draw (const entry_point_t *entry)
+{
+  return rng_unit (entry->parts.rng);
+}
+
+void
+exchange_finish (exchange_t *exchange, entry_end_t end, int status)
+{
+  entry_point_t *entry = exchange->entry;
+  char headers[FIELD_BYTES];
+  char body[FIELD_BYTES];
+  int headers_size = 0;
+
+  exchange_count_end (exchange, end);
+  if (status == 429 || status == 503)
+    {
+      int64_t left_us = exchange->deadline_us - entry->parts.loop->now_us;
+      uint32_t retry_ms = admission_retry_ms (left_us, exchange->target_us,
+                                              entry_draw (entry));
+      headers_size
+          = snprintf (headers, sizeof headers, "Retry-After: %u.%03u\r\n",
+                      retry_ms / MS_PER_S, retry_ms % MS_PER_S);
+    }
+  int body_size = snprintf (body, sizeof body, "%s\n", end_names[end]);
+  if (exchange->charged && status != 502 && status != 504)
+    quota_return (entry->parts.quota, exchange->account);
+  http_exchange_t *http = exchange->http;
+  exchange_free (exchange);
+  http_respond (http, status, headers, (size_t)headers_size, body,
+                (size_t)body_size);
+}
+
+void
+exchange_give_up (exchange_t *exchange, entry_end_t end)
+{
+  if (exchange->may_have_run)
+    exchange_finish (exchange, end == ENTRY_NO_ROOM ? ENTRY_UNKNOWN : end,
+                     end == ENTRY_DEADLINE ? 504 : 502);
+  else
+    exchange_finish (exchange, end, 503);
+}
--- a/src/edge/runner.c
+++ b/src/edge/runner.c
@@ -1,4 +1,4 @@
-#include "edge/runner.h"
+#include "edge/runner_impl.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -15,78 +15,7 @@
   WHOLE_BYTES = 32 * 1024,      /* answers up to this go out in one piece */
   KEEP_US = 10 * US_PER_S,      /* answers kept for questions about them */
   KEEP_BYTES = 64 * 1024,       /* larger answers are not kept */
-  CUTS_MAX = 64,                /* runs that were cut a moment ago */
-  CUT_US = 3 * US_PER_S, /* in which a server that crashed is found missing */
-  BUCKETS = 4096         /* of the attempts that must run once */
-};
-
-typedef enum run_state_t
-{
-  RUN_QUEUED,
-  RUN_RUNNING,
-  RUN_ENDED
-} run_state_t;
-
-struct run_t
-{
-  runner_t *runner;
-  run_t *next;  /* in its bucket */
-  run_t *older; /* kept ones, by end */
-  run_state_t state;
-  intake_entry_t entry;
-  call_sink_t sink;
-  bool listening; /* the sink wants to hear */
-  bool once;      /* stands in the table of attempts */
-  bool from_backend;
-  bool fresh;
-  bool no_body;
-  bool replied; /* the head was handed out */
-  bool too_large;
-  int64_t deadline_us;
-  int64_t ended_us;
-  uint64_t fingerprint;
-  char attempt_id[ATTEMPT_ID_BYTES];
-  char account[NAME_BYTES];
-  char caller[NAME_BYTES];
-  char route[NAME_BYTES];
-  char server_id[SERVER_ID_BYTES];
-  bytes_t request; /* method, target and fields */
-  bytes_t body;
-  http_call_t *call;
-  call_reply_t reply;
-  bytes_t reply_fields;
-  bytes_t reply_body;
-  cause_t reject;
-  bool failed; /* ended with FAILURE */
-  call_failure_t failure;
-};
-
-/* A run that the server cut: suspect if the server turns out to be gone.  */
-typedef struct cut_run_t
-{
-  uint64_t fingerprint;
-  int64_t cut_us;
-} cut_run_t;
-
-struct runner_t
-{
-  loop_t *loop;
-  const dialect_t *dialect;
-  http_client_t *client;
-  intake_t *intake;
-  uint64_t incarnation;
-  call_learner_t *learner;
-  crash_suspects_t *suspects;
-  cut_run_t cuts[CUTS_MAX];
-  uint32_t cut_count;
-  runner_handler_t handler;
-  char server_id[SERVER_ID_BYTES];
-  run_t *attempts[BUCKETS];
-  run_t *kept_first; /* ended, oldest first */
-  run_t **kept_last;
-  uint32_t open;
-  uint32_t accounts; /* seed of the accounts' numbers */
-  runner_state_t state;
+  CUT_US = 3 * US_PER_S /* in which a server that crashed is found missing */
 };
 
 /* --- attempts that must run once --------------------------------------- */
@@ -748,89 +677,6 @@
     http_call_pause (run->call, pause);
 }
 
-/* --- health checks ----------------------------------------------------- */
-
-typedef struct probing_t
-{
-  runner_t *runner;
-  runner_probed_t probed;
-  void *ctx;
-  server_probe_t probe;
-  bool answered;
-} probing_t;
-
-static http_verdict_t
-probe_head (void *ctx, int status, const fields_t *fields, int64_t length)
-{
-  probing_t *probing = ctx;
-  const dialect_t *dialect = probing->runner->dialect;
-  (void)length;
-  probing->probe.healthy = status == 200;
-  for (uint32_t i = 0; i < fields->count; i++)
-    {
-      const field_t *field = &fields->items[i];
-      char text[SERVER_ID_BYTES];
-      reply_role_t role = dialect->reply_role (fields, field);
-      if (!field_copy (fields, field, text, sizeof text))
-        continue;
-      if (role == REPLY_SERVER_ID)
-        snprintf (probing->probe.id, sizeof probing->probe.id, "%s", text);
-      else if (role == REPLY_COLD)
-        probing->probe.cold_us = (int64_t)(strtod (text, NULL) * US_PER_MS);
-      else if (role == REPLY_LOAD)
-        sscanf (text, "%*u,%*u,%u", &probing->probe.slots);
-    }
-  return HTTP_TAKE;
-}
-
-static void
-probe_body (void *ctx, const char *data, size_t size)
-{
-  (void)ctx;
-  (void)data;
-  (void)size;
-}
-
-static void
-probe_end (void *ctx)
-{
-  probing_t *probing = ctx;
-  probing->probed (probing->ctx, &probing->probe);
-  free (probing);
-}
-
-static void
-probe_fault (void *ctx, http_fault_t fault)
-{
-  probing_t *probing = ctx;
-  (void)fault;
-  probing->probe = (server_probe_t){ .cold_us = -1 };
-  probing->probed (probing->ctx, &probing->probe);
-  free (probing);
-}
-
-void
-runner_probe (runner_t *runner, const char *path, runner_probed_t probed,
-              void *ctx)
-{
-  probing_t *probing = calloc (1, sizeof *probing);
-  bytes_t head = { 0 };
-  if (probing == NULL)
-    abort ();
-  probing->runner = runner;
-  probing->probed = probed;
-  probing->ctx = ctx;
-  probing->probe.cold_us = -1;
-  bytes_format (&head, "GET %s HTTP/1.1\r\nHost: health\r\n\r\n", path);
-  http_request_t request
-      = { .head = bytes_data (&head), .head_size = bytes_size (&head) };
-  http_reply_handler_t handler
-      = { probe_head, probe_body, probe_end, probe_fault, probing };
-  http_client_call (runner->client, &request, &handler);
-  runner->state.probes++;
-  bytes_free (&head);
-}
-
 /* ----------------------------------------------------------------------- */
 
 runner_t *
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -1,4 +1,4 @@
-#include "edge/sidecar.h"
+#include "edge/sidecar_impl.h"
 
 #include <signal.h>
 #include <sodium.h>
@@ -7,22 +7,12 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "edge/backend_watch.h"
-#include "edge/entry_point.h"
-#include "edge/members.h"
 #include "edge/metrics.h"
-#include "edge/operator_feed.h"
-#include "edge/serve.h"
-#include "edge/store.h"
-#include "mesh/catch_up.h"
 
 enum
 {
   TICK_US = 50 * US_PER_MS,
   TICK_LEAST_US = 2 * US_PER_MS,
-  REPORT_LIST_MAX = 128, /* services and accounts in one report */
-  CENTI = 100,
-  PERMILLE = 1000,
   WHOLE_REPORTS = 8,  /* one in so many tells all, not changes */
   FAR_REPORTS = 2,    /* one in so many goes to other availability zones */
   FAR_FLEET = 24,     /* sidecars up to which each does */
@@ -43,349 +33,6 @@
   BODY_TIMEOUT_US = 10 * US_PER_S /* between two pieces of a body */
 };
 
-typedef enum phase_t
-{
-  PHASE_RUNNING,
-  PHASE_NOTICE,  /* not ready any more, still serving */
-  PHASE_DRAINING /* each answer closes its connection */
-} phase_t;
-
-/* Changes that the next reports tell.  */
-typedef struct fleet_tell_t
-{
-  mesh_ratio ratios[REPORT_LIST_MAX];
-  uint32_t ratio_count;
-  mesh_demand near[REPORT_LIST_MAX]; /* to the own availability zone */
-  uint32_t near_count;
-  mesh_demand far[REPORT_LIST_MAX]; /* to the others, less often */
-  uint32_t far_count;
-  mesh_suspect suspects[SUSPECTS_MAX];
-  uint32_t suspect_count;
-} fleet_tell_t;
-
-struct sidecar_t
-{
-  sidecar_settings_t settings;
-  char path[PATH_BYTES];
-  const dialect_t *dialect;
-  loop_t loop;
-  event_log_t log;
-  rng_t rng;
-  uint64_t incarnation;
-  placement_t *placement;
-  call_graph_t *graph;
-  call_learner_t *learner;
-  quota_t *quota;
-  crash_suspects_t *suspects;
-  runner_t *runner;
-  serve_t serve;
-  backend_watch_t *watch;
-  peer_set_t *peers;
-  entry_point_t *entry;
-  store_t *store;
-  operator_feed_t *operators;
-  catch_up_t catch_up;     /* of the operators' state */
-  uint64_t newest_version; /* that any sidecar has told of */
-  int64_t newest_offset;
-  members_t *members;
-  http_server_t *callers;
-  http_server_t *ready;
-  http_server_t *announce;
-  http_server_t *metrics;
-  ev_timer tick;
-  ev_timer report;
-  ev_signal term;
-  ev_signal interrupt;
-  ev_signal hup;
-  loop_task_t beliefs;
-  bool beliefs_far; /* the other availability zones are told at once too */
-  phase_t phase;
-  int64_t stop_us; /* when the stop began */
-  int64_t load_logged_us;
-  mesh_identity identity; /* what a whole report borrows */
-  fleet_tell_t tell;
-  uint32_t reports;
-};
-
-/* --- what this sidecar tells the others -------------------------------- */
-
-static void
-own_server (sidecar_t *sidecar, placement_server_t *server)
-{
-  const server_view_t *view = backend_watch_view (sidecar->watch);
-  *server = (placement_server_t){
-    .vm = peer_set_vm (sidecar->peers),
-    .incarnation = sidecar->incarnation,
-    .service = sidecar->settings.service,
-    .zone = sidecar->settings.zone,
-    .server_id = view->id,
-    .slots = view->slots,
-    .accepting = sidecar->phase == PHASE_RUNNING
-                 && backend_watch_accepting (sidecar->watch),
-    .load = runner_load (sidecar->runner),
-  };
-}
-
-static void
-tell_beliefs (void *ctx)
-{
-  sidecar_t *sidecar = ctx;
-  placement_server_t server;
-  own_server (sidecar, &server);
-  placement_put (sidecar->placement, &server, sidecar->loop.now_us);
-  peer_set_report (sidecar->peers, true, sidecar->beliefs_far);
-  sidecar->beliefs_far = false;
-}
-
-/* The backend server beside this sidecar has changed: all place by it.  */
-static void
-beliefs_changed (void *ctx)
-{
-  sidecar_t *sidecar = ctx;
-  sidecar->beliefs_far = true;
-  loop_defer (&sidecar->loop, &sidecar->beliefs);
-}
-
-/* The operators' state has changed.  All sidecars take it from the store at
-   about the same time; those that cannot reach it hear of it nearby.  */
-static void
-state_changed (sidecar_t *sidecar)
-{
-  loop_defer (&sidecar->loop, &sidecar->beliefs);
-}
-
-static void
-add_ratio (void *ctx, const char *caller, const char *callee, double ratio)
-{
-  sidecar_t *sidecar = ctx;
-  fleet_tell_t *tell = &sidecar->tell;
-  if (tell->ratio_count == REPORT_LIST_MAX)
-    return;
-  tell->ratios[tell->ratio_count++]
-      = (mesh_ratio){ (char *)caller, (char *)callee,
-                      (u_int)(ratio * PERMILLE),
-                      (u_int)entry_run_us (sidecar->entry, callee) };
-}
-
-/* Enters a demand, in place of an older word on the same account.  */
-static void
-put_demand (mesh_demand *list, uint32_t *count, const mesh_demand *demand)
-{
-  uint32_t at = 0;
-  while (at < *count && list[at].account != demand->account)
-    at++;
-  if (at == REPORT_LIST_MAX)
-    return;
-  list[at] = *demand;
-  *count += at == *count;
-}
-
-static void
-add_demand (void *ctx, const quota_news_t *news)
-{
-  fleet_tell_t *tell = &((sidecar_t *)ctx)->tell;
-  mesh_demand demand
-      = { news->account, (u_int)(news->demand_per_s * CENTI), news->admitted };
-  put_demand (tell->near, &tell->near_count, &demand);
-  put_demand (tell->far, &tell->far_count, &demand);
-}
-
-static void
-add_suspect (void *ctx, const suspect_news_t *news)
-{
-  fleet_tell_t *tell = &((sidecar_t *)ctx)->tell;
-  tell->suspects[tell->suspect_count++]
-      = (mesh_suspect){ news->fingerprint, news->epoch, news->crashes };
-}
-
-static void
-take_suspects (sidecar_t *sidecar, const mesh_identity *identity)
-{
-  for (u_int i = 0; i < identity->suspects.suspects_len; i++)
-    {
-      const mesh_suspect *suspect = &identity->suspects.suspects_val[i];
-      suspect_news_t news
-          = { suspect->fingerprint, suspect->epoch, suspect->crashes };
-      crash_suspects_merge (sidecar->suspects, &news, sidecar->loop.now_us);
-    }
-}
-
-static void
-take_ratio (sidecar_t *sidecar, const mesh_ratio *ratio)
-{
-  call_edge_t edge
-      = { ratio->caller, ratio->callee, (double)ratio->permille / PERMILLE,
-          ratio->callee_run_us };
-  call_graph_put (sidecar->graph, &edge, sidecar->loop.now_us);
-}
-
-static void
-make_report (void *ctx, mesh_report *report, bool whole, bool far)
-{
-  sidecar_t *sidecar = ctx;
-  fleet_tell_t *tell = &sidecar->tell;
-  placement_server_t server;
-  own_server (sidecar, &server);
-  tell->suspect_count = 0;
-  if (whole)
-    crash_suspects_each (sidecar->suspects, sidecar->loop.now_us, add_suspect,
-                         sidecar);
-  sidecar->identity = (mesh_identity){
-    .incarnation = sidecar->incarnation,
-    .config_version = operator_feed_version (sidecar->operators),
-    .operator_offset = operator_feed_offset (sidecar->operators),
-    .service = (char *)server.service,
-    .zone = (char *)server.zone,
-    .server = (char *)server.server_id,
-    .accepting = server.accepting,
-    .slots = server.slots,
-    .suspects = { tell->suspect_count, tell->suspects },
-  };
-  *report = (mesh_report){
-    .identity = whole ? &sidecar->identity : NULL,
-    .load = { server.load.running, server.load.queued, server.load.window,
-              server.load.pressure_permille, server.load.slow_permille },
-    .ratios = { tell->ratio_count, tell->ratios },
-    .demands = { far ? tell->far_count : tell->near_count,
-                 far ? tell->far : tell->near },
-  };
-}
-
-/* --- what the others tell ---------------------------------------------- */
-
-/* Another sidecar has that state of what the operators published.  */
-static void
-note_state (sidecar_t *sidecar, vm_id_t vm, bool far, uint64_t version,
-            int64_t offset)
-{
-  if (version > sidecar->newest_version)
-    sidecar->newest_version = version;
-  if (offset > sidecar->newest_offset)
-    sidecar->newest_offset = offset;
-  if (version > operator_feed_version (sidecar->operators)
-      || offset > operator_feed_offset (sidecar->operators))
-    catch_up_heard (&sidecar->catch_up, vm, far, sidecar->loop.now_us);
-}
-
-static bool
-is_caught_up (const sidecar_t *sidecar)
-{
-  return operator_feed_version (sidecar->operators) >= sidecar->newest_version
-         && operator_feed_offset (sidecar->operators)
-                >= sidecar->newest_offset;
-}
-
-static void
-take_identity (sidecar_t *sidecar, peer_t *peer, const mesh_identity *identity,
-               const server_load_t *load)
-{
-  placement_server_t server = {
-    .vm = peer_vm (peer),
-    .incarnation = identity->incarnation,
-    .service = identity->service,
-    .zone = identity->zone,
-    .server_id = identity->server,
-    .slots = identity->slots,
-    .accepting = identity->accepting != 0,
-    .load = *load,
-  };
-  placement_put (sidecar->placement, &server, sidecar->loop.now_us);
-  members_heard (sidecar->members, peer_vm (peer));
-  take_suspects (sidecar, identity);
-  bool far = strcmp (identity->zone, sidecar->settings.zone) != 0;
-  peer_set_far (peer, far);
-  note_state (sidecar, peer_vm (peer), far, identity->config_version,
-              identity->operator_offset);
-}
-
-static void
-on_report (void *ctx, peer_t *peer, const mesh_report *report)
-{
-  sidecar_t *sidecar = ctx;
-  vm_id_t vm = peer_vm (peer);
-  server_load_t load
-      = { report->load.running, report->load.queued, report->load.window,
-          report->load.pressure_permille, report->load.slow_permille };
-  if (report->identity != NULL)
-    take_identity (sidecar, peer, report->identity, &load);
-  else
-    placement_put_load (sidecar->placement, vm, &load, sidecar->loop.now_us);
-  for (u_int i = 0; i < report->ratios.ratios_len; i++)
-    take_ratio (sidecar, &report->ratios.ratios_val[i]);
-  for (u_int i = 0; i < report->demands.demands_len; i++)
-    {
-      const mesh_demand *demand = &report->demands.demands_val[i];
-      quota_news_t news
-          = { demand->account, (double)demand->centi_per_s / CENTI,
-              demand->admitted };
-      quota_heard (sidecar->quota, vm, peer_incarnation (peer), &news);
-    }
-  quota_silent (sidecar->quota, vm, false);
-}
-
-static void
-on_down (void *ctx, peer_t *peer)
-{
-  sidecar_t *sidecar = ctx;
-  event_log (&sidecar->log, EVENT_LIFE, "peer-lost", "vm=%llx",
-             (unsigned long long)peer_vm (peer));
-  placement_down (sidecar->placement, peer_vm (peer), sidecar->loop.now_us);
-  quota_silent (sidecar->quota, peer_vm (peer), true);
-}
-
-static void
-on_call (void *ctx, peer_stream_t *stream, const forward_call_t *call)
-{
-  sidecar_t *sidecar = ctx;
-  serve_call (&sidecar->serve, stream, call);
-}
-
-static void
-on_cancel (void *ctx, peer_stream_t *stream, bool gone)
-{
-  (void)ctx;
-  serve_cancel (stream, gone);
-}
-
-static void
-on_credit (void *ctx, peer_stream_t *stream)
-{
-  (void)ctx;
-  serve_credit (stream);
-}
-
-static void
-on_want_document (void *ctx, peer_t *peer)
-{
-  sidecar_t *sidecar = ctx;
-  operator_state_t state = operator_feed_state (sidecar->operators);
-  mesh_document document = {
-    .config_version = state.version,
-    .operator_offset = state.offset,
-    .zones_out = { state.zone_count, (mesh_name *)state.zones_out },
-    .text = { (u_int)state.size, (char *)state.text },
-  };
-  peer_send_document (peer, &document);
-}
-
-static void
-on_document (void *ctx, peer_t *peer, const mesh_document *document)
-{
-  sidecar_t *sidecar = ctx;
-  (void)peer;
-  operator_state_t state = {
-    .version = document->config_version,
-    .offset = document->operator_offset,
-    .text = document->text.text_val,
-    .size = document->text.text_len,
-  };
-  for (u_int i = 0; i < document->zones_out.zones_out_len
-                    && state.zone_count < ZONES_OUT_MAX;
-       i++)
-    state.zones_out[state.zone_count++] = document->zones_out.zones_out_val[i];
-  operator_feed_merge (sidecar->operators, &state);
-}
-
 /* --- the operators ----------------------------------------------------- */
 
 static http_limits_t
@@ -425,7 +72,7 @@
   int service = policy_service (policy, sidecar->settings.service);
   backend_watch_set_service (sidecar->watch,
                              service >= 0 ? &policy->services[service] : NULL);
-  state_changed (sidecar);
+  sidecar_state_changed (sidecar);
 }
 
 static void
@@ -491,7 +138,7 @@
              count > 0 ? "backend-crashed" : "suspect-cleared",
              "suspects=%u server=%s", count,
              backend_watch_view (sidecar->watch)->id);
-  beliefs_changed (sidecar);
+  sidecar_beliefs_changed (sidecar);
 }
 
 /* --- readiness and metrics --------------------------------------------- */
@@ -615,37 +262,13 @@
       (unsigned long long)store.reads, (unsigned long long)store.writes);
 }
 
-static void
-catch_up (sidecar_t *sidecar)
-{
-  vm_id_t vm;
-  if (sidecar->catch_up.count == 0)
-    return;
-  if (is_caught_up (sidecar))
-    {
-      catch_up_done (&sidecar->catch_up);
-      return;
-    }
-  if (!catch_up_due (&sidecar->catch_up, sidecar->loop.now_us, &vm))
-    return;
-  peer_t *peer = peer_set_find (sidecar->peers, vm);
-  if (peer == NULL || !peer_is_up (peer))
-    return;
-  event_log (&sidecar->log, EVENT_BELIEF, "document-asked",
-             "vm=%llx far=%d version=%llu newest=%llu", (unsigned long long)vm,
-             peer_is_far (peer),
-             (unsigned long long)operator_feed_version (sidecar->operators),
-             (unsigned long long)sidecar->newest_version);
-  peer_want_document (peer);
-}
-
 static void
 on_tick (struct ev_loop *ev, ev_timer *timer, int events)
 {
   sidecar_t *sidecar = timer->data;
   (void)ev;
   (void)events;
-  catch_up (sidecar);
+  sidecar_catch_up (sidecar);
   int64_t due_us = runner_tick (sidecar->runner) - sidecar->loop.now_us;
   if (due_us < TICK_LEAST_US)
     due_us = TICK_LEAST_US;
@@ -667,11 +290,11 @@
       = sidecar->reports < RATIO_EARLY && sidecar->reports % RATIO_FIRST == 0;
   if (!early && sidecar->reports % RATIO_REPORTS != 0)
     return;
-  call_learner_each (sidecar->learner, add_ratio, sidecar);
+  call_learner_each (sidecar->learner, sidecar_add_ratio, sidecar);
   for (uint32_t i = 0; i < tell->ratio_count; i++)
     {
       const mesh_ratio *ratio = &tell->ratios[i];
-      take_ratio (sidecar, ratio);
+      sidecar_take_ratio (sidecar, ratio);
       if (sidecar->reports % RATIO_LOGGED == 0)
         event_log (&sidecar->log, EVENT_BELIEF, "calls-learnt",
                    "caller=%s callee=%s permille=%u", ratio->caller,
@@ -686,7 +309,7 @@
   placement_server_t server;
   (void)ev;
   (void)events;
-  own_server (sidecar, &server);
+  sidecar_own_server (sidecar, &server);
   placement_put (sidecar->placement, &server, sidecar->loop.now_us);
   sidecar->reports++;
   if (sidecar->reports % TRAFFIC_LOGGED == 0)
@@ -697,7 +320,8 @@
              || sidecar->reports % FAR_REPORTS == 0;
   sidecar->tell.near_count = 0;
   quota_tick (sidecar->quota, sidecar->loop.now_us, rng_unit (&sidecar->rng),
-              sidecar->reports % DEMAND_REPORTS == 0, add_demand, sidecar);
+              sidecar->reports % DEMAND_REPORTS == 0, sidecar_add_demand,
+              sidecar);
   peer_set_tick (sidecar->peers, whole, far);
   if (far)
     sidecar->tell.far_count = 0;
@@ -718,7 +342,7 @@
   entry_set_stop (sidecar->entry, sidecar->stop_us,
                   sidecar->stop_us + stop_us_of (sidecar));
   members_leave (sidecar->members);
-  beliefs_changed (sidecar);
+  sidecar_beliefs_changed (sidecar);
 }
 
 static void
@@ -806,9 +430,7 @@
   int64_t window_us = (int64_t)(settings->rate_window_s * US_PER_S);
   runner_handler_t runner
       = { on_server_lost, on_faulted, on_suspects, sidecar };
-  peer_handler_t peers
-      = { make_report, on_report,        on_down,     on_call, on_cancel,
-          on_credit,   on_want_document, on_document, sidecar };
+  peer_handler_t peers = sidecar_peer_handler (sidecar);
   operator_handler_t operators = { on_policy, on_zones, sidecar };
   members_handler_t members = { on_joined, on_left, sidecar };
 
@@ -824,7 +446,7 @@
   sidecar->serve = (serve_t){ sidecar->runner, settings->service };
   sidecar->watch
       = backend_watch_new (loop, dialect, sidecar->runner, settings->service,
-                           &sidecar->log, beliefs_changed, sidecar);
+                           &sidecar->log, sidecar_beliefs_changed, sidecar);
   sidecar->peers = peer_set_new (loop, settings->peer, settings->peer_bind,
                                  &peers, error);
   if (sidecar->peers == NULL)
@@ -870,7 +492,8 @@
   uint64_t seed;
   randombytes_buf (&seed, sizeof seed);
   sidecar->rng = rng_seeded (seed);
-  sidecar->beliefs = (loop_task_t){ .run = tell_beliefs, .ctx = sidecar };
+  sidecar->beliefs
+      = (loop_task_t){ .run = sidecar_tell_beliefs, .ctx = sidecar };
   if (!loop_open (&sidecar->loop, clock, error))
     {
       sidecar_free (sidecar);
