--- a/tests/soak_mesh.c
+++ b/tests/soak_mesh.c
@@ -27,6 +27,7 @@
   LAST_MOST_MS = 2500,
   SETTLE_MS = 6000, /* for old links to be given up and servers to be back */
   CALM_MS = 2000,
+  ZONE_MS = 6500, /* a zone is out; the bound is 5 s */
   END_MS = 3000, /* for late answers; longer than callers wait */
   UNDO_MAX = 64
 };
@@ -266,6 +267,10 @@
   world_result_t before = world_result (soak->world, false);
   run (soak, CALM_MS, RATE);
   world_result_t after = world_result (soak->world, false);
+  int zone = (int)rng_below (&soak->rng, WORLD_ZONES);
+  world_set_zone_out (soak->world, zone, true);
+  run (soak, ZONE_MS, RATE);
+  world_set_zone_out (soak->world, zone, false);
   run (soak, END_MS, 0);
   world_result_t result = world_result (soak->world, true);
   total->sent += result.sent;
