Share rates evenly while little is heard of the others

A process that starts anew takes the window for full, but shares what goes out of it by the demand it has heard, which is a small part while links come back; it judges that demand calm, and forgets what others admit before they are first heard. Change: for a second after a start, and until nine tenths of the members are heard but for one window at most, each member gets the same part, nothing counts as calm, and the window is taken for full further on. Test: RatesUnderFaults.LittleIsHeardAfterARestartOfAll.

--- a/src/mesh/quota.c
+++ b/src/mesh/quota.c
@@ -11,6 +11,10 @@
 enum
 {
   AVERAGE_US = US_PER_S, /* over which rates are averaged */
+  /* After a start, until demands are averaged and links are up again.  */
+  FIRST_PERIODS = US_PER_S / QUOTA_PERIOD_US,
+  /* Who has not been heard by then has gone without a word.  */
+  NEW_PERIODS = 5 * US_PER_S / QUOTA_PERIOD_US,
   SLOTS_MOST = QUOTA_WINDOW_MOST_US / QUOTA_PERIOD_US
 };
 
@@ -33,6 +37,10 @@
    requests: above one, for the chance that more come than did.  */
 static const double TAKERS_SHARE = 1.6;
 
+/* Of the members; while fewer have been heard since the start, the others'
+   demand is unknown.  */
+static const double HEARD_SHARE = 0.9;
+
 /* Change of demand that is worth telling by itself.  */
 static const double TOLD_CHANGE = 0.1;
 static const double TOLD_LEAST = 0.5;    /* a second */
@@ -85,7 +93,10 @@
   size_t count;
   silent_t *silent;
   size_t silent_count;
+  vm_id_t *heard; /* since the start */
+  size_t heard_count;
   uint32_t members;
+  uint32_t periods; /* since the start, up to NEW_PERIODS */
   int64_t tick_us;
   int64_t window_us;
 };
@@ -116,6 +127,7 @@
     free (quota->accounts[i].peers);
   free (quota->accounts);
   free (quota->silent);
+  free (quota->heard);
   free (quota);
 }
 
@@ -286,6 +298,27 @@
          * period_s;
 }
 
+/* Whether too little is known of the others to share by demand.  */
+static bool
+is_new (const quota_t *quota)
+{
+  double others = (double)quota->members - 1 - (double)quota->silent_count;
+  if (quota->periods < FIRST_PERIODS)
+    return true;
+  return quota->periods < NEW_PERIODS
+         && (double)quota->heard_count < others * HEARD_SHARE;
+}
+
+/* The fleet's part for each member alike: what a sidecar may admit that knows
+   of no demand but its own.  */
+static double
+even_allowance (const quota_t *quota, const account_t *account, double draw)
+{
+  double part = window_leaving (account) / fmax (1, quota->members);
+  double whole = floor (part);
+  return whole + (draw < part - whole ? 1 : 0);
+}
+
 /* What this sidecar may admit in it.  */
 static double
 next_allowance (const quota_t *quota, account_t *account, double draw)
@@ -296,9 +329,11 @@
   double room = window_room (account) - untold (account, &view, period_s);
   double fleet
       = window_leaving (account) + (room > 0 ? room * PERIOD_SHARE : room);
-  account->calm = is_calm (account, demand);
+  account->calm = !is_new (quota) && is_calm (account, demand);
   if (fleet <= 0)
     return 0;
+  if (is_new (quota))
+    return even_allowance (quota, account, draw);
   double mean = view.all_now_per_s / fmax (1, quota->members);
   double own = fmax (account->told_per_s, mean) * period_s;
   double part = fleet * own_share (quota, &view);
@@ -385,6 +420,9 @@
           peer->admitted_per_s, (int32_t)peer->since / period_s, period_s);
       peer->since = 0;
     }
+  /* Those that are not heard yet have spent their parts unseen.  */
+  if (is_new (quota))
+    spent = fmax (spent, window_limit (account) / account->slots);
   account->slot = (account->slot + 1) % account->slots;
   account->spent += spent - account->window[account->slot];
   account->window[account->slot] = spent;
@@ -398,6 +436,8 @@
   if (quota->tick_us == 0 || period_s <= 0)
     period_s = (double)QUOTA_PERIOD_US / US_PER_S;
   quota->tick_us = now_us;
+  if (quota->periods < NEW_PERIODS)
+    quota->periods++;
   for (size_t i = 0; i < quota->count; i++)
     {
       account_t *account = &quota->accounts[i];
@@ -461,9 +501,24 @@
   peer->demand_per_s = news->demand_per_s;
 }
 
+static void
+note_heard (quota_t *quota, vm_id_t vm)
+{
+  for (size_t i = 0; i < quota->heard_count; i++)
+    if (quota->heard[i] == vm)
+      return;
+  quota->heard = realloc (quota->heard,
+                          (quota->heard_count + 1) * sizeof *quota->heard);
+  if (quota->heard == NULL)
+    abort ();
+  quota->heard[quota->heard_count++] = vm;
+}
+
 void
 quota_silent (quota_t *quota, vm_id_t vm, bool silent)
 {
+  if (!silent)
+    note_heard (quota, vm);
   for (size_t i = 0; i < quota->silent_count; i++)
     if (quota->silent[i].vm == vm)
       {
@@ -488,6 +543,9 @@
 quota_forget (quota_t *quota, vm_id_t vm)
 {
   quota_silent (quota, vm, false);
+  for (size_t i = 0; i < quota->heard_count; i++)
+    if (quota->heard[i] == vm)
+      quota->heard[i] = quota->heard[--quota->heard_count];
   for (size_t i = 0; i < quota->count; i++)
     {
       account_t *account = &quota->accounts[i];
--- a/src/mesh/quota.h
+++ b/src/mesh/quota.h
@@ -10,7 +10,8 @@
 
    A sidecar that falls silent is taken to go on as it did; of what nobody
    used, each side of a cut spends no more than its number of sidecars
-   entitles it to.  A process that starts anew takes the window for full.  */
+   entitles it to.  A process that starts anew takes the window for full, and
+   its part for that of each member alike until it has heard most of them.  */
 
 #include "clock.h"
 #include "types.h"
@@ -59,7 +60,7 @@
 void quota_heard (quota_t *quota, vm_id_t vm, uint64_t incarnation,
                   const quota_news_t *news);
 
-/* VM cannot be heard of late, or can again.  */
+/* VM cannot be heard of late, or was heard just now.  */
 void quota_silent (quota_t *quota, vm_id_t vm, bool silent);
 
 /* The sidecar is no member any more.  */
--- a/tests/mesh_decisions_test.cc
+++ b/tests/mesh_decisions_test.cc
@@ -162,7 +162,9 @@
   int64_t now_us = US_PER_S;
   std::deque<std::pair<int64_t, int>> admitted; /* time, count */
   int refused = 0;
-  int most = 0; /* in any window */
+  int most = 0;      /* in any window */
+  size_t zone = 0;   /* sidecars of one zone, if only these hear each other */
+  bool deaf = false; /* nobody hears anybody */
 
   explicit Sidecars (int count, double rate, double burst)
   {
@@ -186,20 +188,32 @@
     size_t from;
     const std::vector<std::pair<size_t, size_t>> *cut;
   };
+  /* A report comes from each sidecar in each period, with news or without.  */
+  void
+  report (size_t from, const std::vector<std::pair<size_t, size_t>> &cut)
+  {
+    for (size_t i = 0; i < quotas.size (); i++)
+      if (i != from && !is_apart (from, i, cut))
+        quota_silent (quotas[i], from + 1, false);
+  }
+  bool
+  is_apart (size_t a, size_t b,
+            const std::vector<std::pair<size_t, size_t>> &cut)
+  {
+    for (auto pair : cut)
+      if ((pair.first == a && pair.second == b)
+          || (pair.second == a && pair.first == b))
+        return true;
+    return deaf || (zone > 0 && a / zone != b / zone);
+  }
   static void
   tell (void *ctx, const quota_news_t *news)
   {
     Told *told = (Told *)ctx;
     for (size_t i = 0; i < told->all->quotas.size (); i++)
-      {
-        bool apart = false;
-        for (auto pair : *told->cut)
-          apart = apart || (pair.first == told->from && pair.second == i)
-                  || (pair.second == told->from && pair.first == i);
-        if (i != told->from && !apart)
-          quota_heard (told->all->quotas[i], told->from + 1,
-                       told->all->lives[told->from], news);
-      }
+      if (i != told->from && !told->all->is_apart (told->from, i, *told->cut))
+        quota_heard (told->all->quotas[i], told->from + 1,
+                     told->all->lives[told->from], news);
   }
   /* One period with ARRIVALS on average, spread over SPREAD sidecars.  */
   void
@@ -227,6 +241,7 @@
       {
         Told told = { this, i, &cut };
         quota_tick (quotas[i], now_us, rng_unit (&rng), false, tell, &told);
+        report (i, cut);
       }
   }
 };
@@ -318,6 +333,32 @@
   EXPECT_LE (all.most, allowed (100, 100));
 }
 
+/* All processes are killed while one account sends four times its rate.  The
+   links come back one after the other, so what is heard of the others' demand
+   is a small part of it for a while.  */
+TEST (RatesUnderFaults, LittleIsHeardAfterARestartOfAll)
+{
+  const double RATE = 132;
+  Sidecars all (77, RATE, RATE);
+  for (int i = 0; i < 40; i++)
+    all.period (RATE, 77);
+  for (size_t i = 0; i < all.quotas.size (); i++)
+    {
+      quota_free (all.quotas[i]);
+      all.quotas[i] = quota_new (QUOTA_WINDOW_US);
+      all.lives[i]++;
+      quota_set_members (all.quotas[i], 77);
+      quota_set_limit (all.quotas[i], "a", RATE, RATE);
+    }
+  for (int i = 0; i < 40; i++)
+    {
+      all.deaf = i < 3;
+      all.zone = i < 6 ? 20 : 0;
+      all.period (RATE, 77);
+    }
+  EXPECT_LE (all.most, allowed (RATE, RATE));
+}
+
 TEST (RatesUnderFaults, ALowerLimitBindsOneWindowLater)
 {
   Sidecars all (12, 300, 300);
