Count a cold server by what it bears

Ruled out: load on the warm servers (no load line of theirs); the drain of the server that is replaced (a second later). Change: a cold server tells as its window what runs at once at its rate; pressure is weighed by the told window, not by slots, and placement sees it as small as it is. Test: Fleet.ColdServersDoNotPressForTheWarmOnes.

--- a/src/mesh/intake.c
+++ b/src/mesh/intake.c
@@ -14,7 +14,8 @@
   /* In which idle slots are to be filled again: a tree of calls takes about a
      second, and what is admitted faster than it shows comes twice.  */
   REFILL_US = 1500 * US_PER_MS,
-  COLD_BURST = 4 /* requests at once after a quiet time on a cold server */
+  COLD_BURST = 4, /* requests at once after a quiet time on a cold server */
+  COLD_RUN_US = 100 * US_PER_MS /* of a run there, before one has ended */
 };
 
 /* Servers slow down when nearly all slots are taken; health checks take one.
@@ -490,13 +491,24 @@
                   queue_next_expiry_us (intake->callers));
 }
 
+/* What runs at once on a cold server, by its rate.  */
+static uint32_t
+cold_window (const intake_t *intake)
+{
+  double run_us = intake->run_us > 0 ? intake->run_us : COLD_RUN_US;
+  double rate = intake->server.cold_per_s * COLD_RATE_SHARE;
+  uint32_t most = (uint32_t)ceil (rate * run_us / US_PER_S);
+  return most < window (intake) ? most : window (intake);
+}
+
 server_load_t
 intake_load (const intake_t *intake)
 {
+  bool cold = intake_is_cold (intake, intake->pressure_us);
   return (server_load_t){
     .running = intake->running,
     .queued = queued (intake),
-    .window = window (intake),
+    .window = cold ? cold_window (intake) : window (intake),
     .pressure_permille = (uint32_t)((1 - intake->admitted) * 1000),
     .slow_permille = (uint32_t)(intake->slow * 1000),
   };
--- a/src/mesh/placement.c
+++ b/src/mesh/placement.c
@@ -33,6 +33,7 @@
   uint32_t slots;
   bool accepting;
   uint32_t pressure_permille;
+  uint32_t window; /* as told; 0 is "not told" */
   int64_t told_us;
 } member_t;
 
@@ -159,6 +160,7 @@
 {
   service_t *service = service_find (placement, member->service);
   member->pressure_permille = load->pressure_permille;
+  member->window = load->window;
   member->told_us = now_us;
   if (service != NULL && load->slow_permille > 0)
     choose_told_slow (service->choose, member->vm,
@@ -270,7 +272,8 @@
   return count;
 }
 
-/* Mean over the servers of one service, by their slots.  */
+/* Mean over the servers of one service, by what each runs at once: cold ones
+   press hard and carry little.  */
 static double
 own_pressure (const placement_t *placement, const char *name, int64_t now_us)
 {
@@ -282,8 +285,9 @@
       if (!member->accepting || strcmp (member->service, name) != 0
           || now_us - member->told_us > PRESSURE_FRESH_US)
         continue;
-      sum += member->slots * member->pressure_permille / 1000.0;
-      slots += member->slots;
+      uint32_t window = member->window > 0 ? member->window : member->slots;
+      sum += window * member->pressure_permille / 1000.0;
+      slots += window;
     }
   return slots > 0 ? sum / slots : 0;
 }
--- a/tests/mesh_decisions_test.cc
+++ b/tests/mesh_decisions_test.cc
@@ -882,6 +882,36 @@
 
 /* --- fleet ------------------------------------------------------------- */
 
+/* A service's servers are replaced: the new ones are cold and full of the few
+   requests that they bear, the others have room.  */
+TEST (Fleet, ColdServersDoNotPressForTheWarmOnes)
+{
+  rng_t rng = rng_seeded (3);
+  placement_t *placement = placement_new ("z1", &rng, 0);
+  Server cold;
+  cause_t cause;
+  cold.server.slots = 36;
+  cold.server.cold_until_us = cold.now_us + 3 * US_PER_S;
+  cold.server.cold_per_s = 4.4;
+  intake_set_server (cold.intake, &cold.server, cold.now_us);
+  for (int ms = 0; ms < 2000; ms++)
+    {
+      cold.now_us += US_PER_MS;
+      if (ms % 100 == 0)
+        cold.offer (cold.make (true, 700 * US_PER_MS), &cause);
+      intake_tick (cold.intake, cold.now_us);
+    }
+  server_load_t load = intake_load (cold.intake);
+  EXPECT_GT (load.pressure_permille, 300u);
+  placement_server_t server = { 1, 1, "s", "z1", "i1", 36, true, load };
+  placement_put (placement, &server, US_PER_S);
+  server = { 2, 1, "s", "z1", "i2", 36, true, { 10, 0, 34, 0, 1000 } };
+  placement_put (placement, &server, US_PER_S);
+  EXPECT_LT (placement_pressure (placement, "s", US_PER_S), 0.05);
+  placement_free (placement);
+  rng_seeded_free (&rng);
+}
+
 TEST (Fleet, PicksWhatAcceptsAndAddsUpPressureBySlots)
 {
   rng_t rng = rng_seeded (3);
