--- a/tests/soak_mesh.c
+++ b/tests/soak_mesh.c
@@ -28,7 +28,7 @@
   SETTLE_MS = 6000, /* for old links to be given up and servers to be back */
   CALM_MS = 2000,
   ZONE_MS = 6500, /* a zone is out; the bound is 5 s */
-  END_MS = 3000, /* for late answers; longer than callers wait */
+  END_MS = 3000,  /* for late answers; longer than callers wait */
   UNDO_MAX = 64
 };
 
