Let a slow server's word on itself fade

Cause: read in the diff: a sidecar averages its server's slowness by runs, so one that gets few runs because it was slow, or whose server was replaced, keeps saying so for as long as load is low. Change: the mean goes back to what is expected by 2 % in 100 ms.

--- a/src/mesh/intake.c
+++ b/src/mesh/intake.c
@@ -26,6 +26,9 @@
  */
 static const double SLOW_LEAST = 0.05;
 static const double SLOW_MOST = 20;
+/* Back to what is expected, in one step of pressure: a server that was slow
+   and gets few runs for it is tried again within seconds.  */
+static const double SLOW_FADE = 0.02;
 /* Steps of the admitted share, as parts of itself.  A change shows after the
    time that a tree of calls takes, about a second; larger steps than about a
    half in that time swing back and forth.  */
@@ -483,7 +486,10 @@
   start_waiting (intake, now_us);
   refuse_expired (intake, now_us);
   if (now_us - intake->pressure_us >= PRESSURE_PERIOD_US)
-    measure_idle (intake, now_us);
+    {
+      measure_idle (intake, now_us);
+      intake->slow += (1 - intake->slow) * SLOW_FADE;
+    }
   for (; now_us - intake->pressure_us >= PRESSURE_PERIOD_US;
        intake->pressure_us += PRESSURE_PERIOD_US)
     step_pressure (intake);
--- a/tests/mesh_decisions_test.cc
+++ b/tests/mesh_decisions_test.cc
@@ -694,6 +694,28 @@
   EXPECT_GT (used, 0.9);
 }
 
+/* A server that was eight times as slow gets few runs, so its word on itself
+   must not outlast its slowness.  */
+TEST (Intake, ASlowServerThatRunsNothingIsTriedAgain)
+{
+  Server server;
+  cause_t cause;
+  for (int i = 0; i < 200; i++)
+    {
+      intake_entry_t *entry = server.make (true, 2 * US_PER_S);
+      ASSERT_EQ (INTAKE_START, server.offer (entry, &cause));
+      server.now_us += 400 * US_PER_MS;
+      intake_finished (server.intake, entry, true, server.now_us);
+    }
+  EXPECT_GT (intake_load (server.intake).slow_permille, 6000u);
+  for (int ms = 0; ms < 10000; ms += 50)
+    {
+      server.now_us += 50 * US_PER_MS;
+      intake_tick (server.intake, server.now_us);
+    }
+  EXPECT_LT (intake_load (server.intake).slow_permille, 2000u);
+}
+
 /* --- what calls what --------------------------------------------------- */
 
 struct Learnt
