Keep the reserve of repeats for the leaves

Since the deployment's reserve of 48 was read from its settings, pools of all services held two repeats each; one above the narrow service repeats up to ten calls there. Ruled out: the earned share (0.08 of first sendings at leaves, 0.03 above), which stays below a fifth in the test. Change: the reserve is the leaves'; above, a pool holds one repeat at most.

--- a/src/edge/entry_tree.c
+++ b/src/edge/entry_tree.c
@@ -29,7 +29,7 @@
     return &entry->services[SERVICES_MAX - 1];
   service_state_t *state = &entry->services[entry->service_count++];
   *state = (service_state_t){ .cost_us = 0 };
-  retry_pool_open (&state->pool, service, entry_retry_bounds (entry));
+  retry_pool_open (&state->pool, service);
   return state;
 }
 
--- a/src/mesh/retry_pool.c
+++ b/src/mesh/retry_pool.c
@@ -10,27 +10,31 @@
 static const double EARNED = 0.15;
 /* Of the reserve that is handed out; the rest covers repeated calls.  */
 static const double RESERVE_SHARE = 0.5;
+/* What a pool holds at most above the leaves: each repeat there is a whole
+   tree of them further down.  */
+static const double MOST_ABOVE = 1;
 
 static double
-most (retry_bounds_t bounds)
+most (bool leaf, retry_bounds_t bounds)
 {
   double sidecars = bounds.sidecars > 0 ? bounds.sidecars : 1;
-  return fmax (1, bounds.reserve * RESERVE_SHARE / sidecars);
+  if (!leaf)
+    return MOST_ABOVE;
+  return fmax (MOST_ABOVE, bounds.reserve * RESERVE_SHARE / sidecars);
 }
 
 void
-retry_pool_open (retry_pool_t *pool, const char *service,
-                 retry_bounds_t bounds)
+retry_pool_open (retry_pool_t *pool, const char *service)
 {
   snprintf (pool->service, sizeof pool->service, "%s", service);
-  pool->tokens = most (bounds);
+  pool->tokens = MOST_ABOVE;
 }
 
 void
 retry_pool_earn (retry_pool_t *pool, bool leaf, retry_bounds_t bounds)
 {
   double earned = bounds.share * (leaf ? EARNED_LEAF : EARNED);
-  pool->tokens = fmin (pool->tokens + earned, most (bounds));
+  pool->tokens = fmin (pool->tokens + earned, most (leaf, bounds));
 }
 
 bool
--- a/src/mesh/retry_pool.h
+++ b/src/mesh/retry_pool.h
@@ -21,11 +21,10 @@
   uint32_t sidecars;
 } retry_bounds_t;
 
-void retry_pool_open (retry_pool_t *pool, const char *service,
-                      retry_bounds_t bounds);
+void retry_pool_open (retry_pool_t *pool, const char *service);
 
-/* A first sending.  Of a LEAF, which calls no further, more is earned: a
-   repeat there repeats nothing else.  */
+/* A first sending.  Of a LEAF, which calls no further, more is earned, and the
+   reserve is its own: a repeat there repeats nothing else.  */
 void retry_pool_earn (retry_pool_t *pool, bool leaf, retry_bounds_t bounds);
 
 /* Takes one second sending; false when none is left.  */
--- a/tests/mesh_decisions_test.cc
+++ b/tests/mesh_decisions_test.cc
@@ -137,7 +137,7 @@
     {
       retry_pool_t pool;
       retry_bounds_t bounds = { 0.2, 0, 12 };
-      retry_pool_open (&pool, "s", bounds);
+      retry_pool_open (&pool, "s");
       int taken = 0;
       for (int i = 0; i < 10000; i++)
         {
@@ -150,6 +150,33 @@
   EXPECT_GT (repeats, 0.1);
 }
 
+/* Replays a tree of calls like the users': two lookups, each of which calls
+   one that calls the narrow service five times.  A tenth of the answers is
+   lost at each level at once, and all sidecars spend what they have.  */
+TEST (RetryPool, RepeatsAboveTheNarrowServiceLeaveItsReserve)
+{
+  const int SIDECARS = 12;
+  retry_bounds_t bounds = { 0.2, 48, SIDECARS };
+  const double below[] = { 10, 5, 5, 1 };   /* arrivals there for one repeat */
+  const int firsts[] = { 30, 60, 60, 300 }; /* a second, by the fleet */
+  double repeats = 0;
+  for (int level = 0; level < 4; level++)
+    for (int sidecar = 0; sidecar < SIDECARS; sidecar++)
+      {
+        retry_pool_t pool;
+        retry_pool_open (&pool, "s");
+        for (int i = 0; i < firsts[level] * 10 / SIDECARS; i++)
+          {
+            retry_pool_earn (&pool, level == 3, bounds);
+            if (i % 10 == 0 && retry_pool_take (&pool))
+              repeats += below[level];
+          }
+        while (retry_pool_take (&pool))
+          repeats += below[level];
+      }
+  EXPECT_LE (repeats, 0.2 * firsts[3] * 10 + 48);
+}
+
 /* --- rates ------------------------------------------------------------- */
 
 const int64_t QUOTA_WINDOW_US = 5 * US_PER_S;
