Log how late a caller's leaving is noticed, and why

request-end bears the step and the longest time that the close may have gone unnoticed (since reading was paused, or since the turn of the loop before).

--- a/src/edge/entry_end.c
+++ b/src/edge/entry_end.c
@@ -16,6 +16,13 @@
 #undef ENTRY_END_NAME
 };
 
+static const char *const step_names[] = {
+  [STEP_PLACING] = "placing",
+  [STEP_SENT] = "sent",
+  [STEP_ASKING] = "asking",
+  [STEP_ANSWERING] = "answering",
+};
+
 const char *
 entry_end_name (entry_end_t end)
 {
@@ -62,7 +69,7 @@
       "id=%s end=%s service=%s account=%s priority=%u call=%d "
       "cause=%s vm=%llx places=%u age-ms=%lld left-ms=%lld "
       "config=%llu route=%s pressed=%s pressure=%.3f "
-      "cost=%.2f",
+      "cost=%.2f step=%s unseen-ms=%lld",
       exchange->attempt_id, end_names[end], exchange->service,
       exchange->account, exchange->priority, exchange->from_backend,
       exchange->cause < CAUSE_COUNT ? cause_name (exchange->cause) : "none",
@@ -72,7 +79,8 @@
       (unsigned long long)(entry->policy != NULL ? entry->policy->version : 0),
       exchange->route,
       exchange->pressed[0] != '\0' ? exchange->pressed : "none",
-      exchange->pressure, exchange->cost);
+      exchange->pressure, exchange->cost, step_names[exchange->step],
+      (long long)(exchange->http->unseen_us / US_PER_MS));
 }
 
 double
--- a/src/edge/http_client.c
+++ b/src/edge/http_client.c
@@ -35,6 +35,7 @@
   int64_t idle_max_us;
   bool connecting;
   bool active; /* a call is on it */
+  bool sent;   /* a byte of the request has gone out */
   bool reused;
   bool no_body;
   bool answered; /* a byte of the answer has come */
@@ -358,6 +359,7 @@
           call->keep = false;
           return;
         }
+      call->sent = true;
       bytes_consume (&call->out, (size_t)sent);
     }
   if (!call->connecting)
@@ -462,6 +464,7 @@
   call->handler = *handler;
   call->active = true;
   call->no_body = request->no_body;
+  call->sent = false;
   call->answered = false;
   call->taken = false;
   call->skipping = false;
@@ -474,6 +477,12 @@
   return call;
 }
 
+bool
+http_call_is_sent (const http_call_t *call)
+{
+  return call->sent;
+}
+
 void
 http_call_cancel (http_call_t *call)
 {
--- a/src/edge/http_client.h
+++ b/src/edge/http_client.h
@@ -70,6 +70,9 @@
                                const http_request_t *request,
                                const http_reply_handler_t *handler);
 
+/* Whether the server may have been sent a part of the request.  */
+bool http_call_is_sent (const http_call_t *call);
+
 /* Closes the call's connection; no callback follows.  */
 void http_call_cancel (http_call_t *call);
 
--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -32,7 +32,8 @@
   http_exchange_t **last;
   uint32_t waiting;
   loop_task_t flush;
-  int64_t since_us; /* last progress */
+  int64_t since_us;  /* last progress */
+  int64_t paused_us; /* since when a close goes unnoticed, or 0 */
   uint32_t peer_ip;
   int error_status; /* of a malformed request, or 0 */
   bool paused;
@@ -85,19 +86,39 @@
   free (exchange);
 }
 
+/* How long its caller may have been gone when that is noticed.  */
+static int64_t
+unseen_us (const http_connection_t *connection)
+{
+  const loop_t *loop = connection->server->loop;
+  int64_t since_us
+      = connection->paused_us > 0 ? connection->paused_us : loop->previous_us;
+  return loop->now_us - since_us;
+}
+
+static void
+tell_gone (http_exchange_t *exchange)
+{
+  http_server_t *server = exchange->connection->server;
+  http_server_state_t *state = &server->state;
+  state->exchanges--;
+  exchange->unseen_us = unseen_us (exchange->connection);
+  state->gone[loop_gap_slot (exchange->unseen_us, HTTP_UNSEEN_SLOTS)]++;
+  if (exchange->unseen_us > state->unseen_most_us)
+    state->unseen_most_us = exchange->unseen_us;
+  if (server->handler.gone != NULL)
+    server->handler.gone (server->handler.ctx, exchange);
+}
+
 static void
 exchanges_drop (http_connection_t *connection)
 {
-  http_handler_t *handler = &connection->server->handler;
   while (connection->first != NULL)
     {
       http_exchange_t *exchange = connection->first;
       connection->first = exchange->next;
       if (exchange->handed && exchange->answer != HTTP_ANSWER_ENDED)
-        {
-          connection->server->state.exchanges--;
-          handler->gone (handler->ctx, exchange);
-        }
+        tell_gone (exchange);
       exchange_free (exchange);
     }
   connection->last = &connection->first;
@@ -533,6 +554,9 @@
 pause_reading (http_connection_t *connection, const char *rest, size_t size)
 {
   connection->paused = true;
+  connection->server->state.paused++;
+  if (connection->paused_us == 0)
+    connection->paused_us = connection->server->loop->now_us;
   bytes_append (&connection->in, rest, size);
   ev_io_stop (connection->server->loop->ev, &connection->reader);
 }
@@ -597,6 +621,8 @@
     return;
   connection->since_us = server->loop->now_us;
   parse (connection, server->block, (size_t)size);
+  if (size < READ_BYTES && !connection->dead && !connection->paused)
+    connection->paused_us = 0;
 }
 
 /* --- the listener ------------------------------------------------------ */
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -52,10 +52,11 @@
   bytes_t target;     /* NUL-terminated path and query */
   fields_t fields;
   bytes_t body;
-  int64_t begun_us; /* when its first byte was read */
-  int64_t read_us;  /* when its last byte was read */
-  uint32_t peer_ip; /* host order */
-  void *user;       /* the handler's */
+  int64_t begun_us;  /* when its first byte was read */
+  int64_t read_us;   /* when its last byte was read */
+  int64_t unseen_us; /* for which a close may have gone unnoticed */
+  uint32_t peer_ip;  /* host order */
+  void *user;        /* the handler's */
   /* Private.  */
   struct http_connection_t *connection;
   http_exchange_t *next;
@@ -90,12 +91,21 @@
 
 uint16_t http_server_port (const http_server_t *server);
 
+enum
+{
+  HTTP_UNSEEN_SLOTS = 14 /* powers of two of milliseconds */
+};
+
 typedef struct http_server_state_t
 {
   uint32_t connections;
   uint32_t exchanges; /* read and not yet answered */
   uint64_t body_bytes;
   uint64_t malformed;
+  uint64_t paused; /* times that reading a connection was */
+  /* Requests whose callers left, by how long that may have gone unnoticed.  */
+  uint64_t gone[HTTP_UNSEEN_SLOTS];
+  int64_t unseen_most_us;
 } http_server_state_t;
 
 http_server_state_t http_server_state (const http_server_t *server);
--- a/src/edge/loop.c
+++ b/src/edge/loop.c
@@ -37,14 +37,28 @@
   run_tasks (prepare->data);
 }
 
+uint32_t
+loop_gap_slot (int64_t us, uint32_t count)
+{
+  uint32_t slot = 0;
+  for (int64_t ms = us / US_PER_MS; ms > 0 && slot + 1 < count; ms >>= 1)
+    slot++;
+  return slot;
+}
+
 static void
 after_wait (struct ev_loop *ev, ev_check *check, int events)
 {
   loop_t *loop = check->data;
   (void)ev;
   (void)events;
+  loop->previous_us = loop->now_us;
   loop->now_us = clock_now_us (loop->clock);
   loop->turns++;
+  int64_t gap_us = loop->now_us - loop->previous_us;
+  loop->gaps[loop_gap_slot (gap_us, LOOP_GAPS)]++;
+  if (gap_us > loop->gap_most_us)
+    loop->gap_most_us = gap_us;
 }
 
 bool
@@ -57,6 +71,7 @@
     return error_set (error, ERROR_IO, NULL,
                       "no epoll descriptor; raise the limit of descriptors");
   loop->now_us = clock_now_us (clock);
+  loop->previous_us = loop->now_us;
   ev_prepare_init (&loop->prepare, before_wait);
   loop->prepare.data = loop;
   ev_prepare_start (loop->ev, &loop->prepare);
--- a/src/edge/loop.h
+++ b/src/edge/loop.h
@@ -20,18 +20,30 @@
   bool queued;
 } loop_task_t;
 
+enum
+{
+  LOOP_GAPS = 12 /* powers of two of milliseconds */
+};
+
 typedef struct loop_t
 {
   struct ev_loop *ev;
   const clock_source_t *clock; /* borrowed */
   int64_t now_us;              /* monotonic, as of this turn */
+  int64_t previous_us;         /* the same of the turn before */
   loop_task_t *first;          /* tasks due at the end of this turn */
   loop_task_t **last;
   ev_prepare prepare;
   ev_check check;
   uint64_t turns;
+  /* Turns by the time since the one before, in which sockets went unread.  */
+  uint64_t gaps[LOOP_GAPS];
+  int64_t gap_most_us;
 } loop_t;
 
+/* The power of two of milliseconds that US falls into, below COUNT.  */
+uint32_t loop_gap_slot (int64_t us, uint32_t count);
+
 /* CLOCK is borrowed.  False when the kernel gives no epoll descriptor.  */
 bool loop_open (loop_t *loop, const clock_source_t *clock,
                 error_info_t *error);
--- a/src/edge/metrics.c
+++ b/src/edge/metrics.c
@@ -46,6 +46,7 @@
 {
   put (to, "runs_total", runner->started);
   put (to, "runs_answered_total", runner->ended);
+  put (to, "runs_orphaned_total", runner->orphaned);
   put (to, "health_checks_total", runner->probes);
   put (to, "backend_connections", runner->connections.connections);
   put (to, "backend_connections_opened_total", runner->connections.opened);
@@ -60,6 +61,28 @@
   put (to, "backend_slow_permille", load->slow_permille);
 }
 
+/* Counts by power of two of milliseconds.  */
+static void
+put_ms (bytes_t *to, const char *name, const uint64_t *counts, uint32_t slots)
+{
+  uint64_t sum = 0;
+  for (uint32_t i = 0; i < slots; i++)
+    {
+      sum += counts[i];
+      bytes_format (to, "redwingford_%s_bucket{le=\"%u\"} %llu\n", name,
+                    1U << i, (unsigned long long)sum);
+    }
+}
+
+static void
+put_callers (bytes_t *to, const http_server_state_t *callers)
+{
+  put (to, "caller_connections", callers->connections);
+  put (to, "caller_malformed_total", callers->malformed);
+  put (to, "caller_reads_paused_total", callers->paused);
+  put_ms (to, "caller_gone_unseen_ms", callers->gone, HTTP_UNSEEN_SLOTS);
+}
+
 static void
 put_process (bytes_t *to, const metrics_parts_t *parts)
 {
@@ -72,6 +95,7 @@
       put (to, "memory_peak_kb", (uint64_t)usage.ru_maxrss);
     }
   put (to, "loop_turns_total", parts->loop->turns);
+  put_ms (to, "loop_gap_ms", parts->loop->gaps, LOOP_GAPS);
   put (to, "log_lines_total", parts->log->written);
   put (to, "log_lines_lost_total", parts->log->lost);
 }
@@ -96,8 +120,7 @@
   put (to, "store_failures_total", parts->store.failures);
   put (to, "store_bytes_in_total", parts->store.bytes_in);
   put (to, "store_reachable", parts->store.reachable);
-  put (to, "caller_connections", parts->callers.connections);
-  put (to, "caller_malformed_total", parts->callers.malformed);
+  put_callers (to, &parts->callers);
   put (to, "config_version", parts->config_version);
   put_process (to, parts);
 }
--- a/src/edge/runner.c
+++ b/src/edge/runner.c
@@ -658,7 +658,10 @@
 {
   run->listening = false;
   if (run->state == RUN_RUNNING && run->once)
-    return; /* its outcome counts, even with nobody waiting */
+    {
+      run->runner->state.orphaned += !http_call_is_sent (run->call);
+      return; /* its outcome counts, even with nobody waiting */
+    }
   run_break_off (run);
 }
 
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -240,6 +240,24 @@
     }
 }
 
+/* How callers have left since the start, and what may have hidden it.  */
+static void
+log_callers (sidecar_t *sidecar)
+{
+  http_server_state_t callers = http_server_state (sidecar->callers);
+  uint64_t gone = 0;
+  for (int i = 0; i < HTTP_UNSEEN_SLOTS; i++)
+    gone += callers.gone[i];
+  event_log (&sidecar->log, EVENT_LIFE, "callers",
+             "connections=%u gone=%llu unseen-ms-most=%lld "
+             "reads-paused=%llu orphaned=%llu loop-gap-ms-most=%lld",
+             callers.connections, (unsigned long long)gone,
+             (long long)(callers.unseen_most_us / US_PER_MS),
+             (unsigned long long)callers.paused,
+             (unsigned long long)runner_state (sidecar->runner).orphaned,
+             (long long)(sidecar->loop.gap_most_us / US_PER_MS));
+}
+
 /* What was sent where since the start, now and then.  */
 static void
 log_traffic (sidecar_t *sidecar)
@@ -313,7 +331,10 @@
   placement_put (sidecar->placement, &server, sidecar->loop.now_us);
   sidecar->reports++;
   if (sidecar->reports % TRAFFIC_LOGGED == 0)
-    log_traffic (sidecar);
+    {
+      log_traffic (sidecar);
+      log_callers (sidecar);
+    }
   tell_ratios (sidecar);
   bool whole = sidecar->reports % WHOLE_REPORTS == 0;
   bool far = members_count (sidecar->members) <= FAR_FLEET
