Let open requests go before a sidecar frees its parts

Seen: a sidecar that ends with requests open dies of SIGSEGV instead of ending with status 0; its last log lines are lost with it.

Cause: http_server_free closed callers' connections without a word to the handler, so their exchanges stayed. Freeing the links then told them that their calls were lost, and they answered on connections that were gone.

Evidence: Two.ASidecarThatEndsLetsItsOpenRequestsGo dies of signal 11 before.

--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -106,8 +106,7 @@
   state->gone[loop_gap_slot (exchange->unseen_us, HTTP_UNSEEN_SLOTS)]++;
   if (exchange->unseen_us > state->unseen_most_us)
     state->unseen_most_us = exchange->unseen_us;
-  if (server->handler.gone != NULL)
-    server->handler.gone (server->handler.ctx, exchange);
+  server->handler.gone (server->handler.ctx, exchange);
 }
 
 static void
@@ -756,14 +755,8 @@
     return;
   http_server_stop_listening (server);
   ev_timer_stop (server->loop->ev, &server->sweep);
-  server->handler.gone = NULL;
   while (server->connections != NULL)
-    {
-      for (http_exchange_t *at = server->connections->first; at != NULL;
-           at = at->next)
-        at->handed = false;
-      connection_close (server->connections);
-    }
+    connection_close (server->connections);
   loop_drop (server->loop, &server->bury);
   bury_dead (server);
   free (server);
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -76,7 +76,7 @@
                                 const http_handler_t *handler,
                                 error_info_t *error);
 
-/* Closes all connections without calling the handler.  */
+/* Closes all connections; the handler hears that open exchanges are gone.  */
 void http_server_free (http_server_t *server);
 
 void http_server_set_limits (http_server_t *server,
--- a/tests/mesh_edge_test.cc
+++ b/tests/mesh_edge_test.cc
@@ -699,6 +699,16 @@
   EXPECT_TRUE (wait ([&] { return backend->gone == 1; }));
 }
 
+/* What is open is let go of before the parts that it uses are freed.  */
+TEST_F (Two, ASidecarThatEndsLetsItsOpenRequestsGo)
+{
+  Caller caller (http_server_port (a->callers));
+  caller.send (request ("GET", "/read/1", "id-1"));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  a.reset ();
+  EXPECT_TRUE (wait ([&] { return backend->gone == 1; }));
+}
+
 TEST_F (Two, ABookingIsAskedAfterWhenItsLinkIsLost)
 {
   Caller caller (http_server_port (a->callers));
