--- a/tests/mesh_edge_test.cc
+++ b/tests/mesh_edge_test.cc
@@ -709,6 +709,213 @@
   EXPECT_TRUE (wait ([&] { return backend->gone == 1; }));
 }
 
+/* A close is not hidden by requests that wait to be read.  */
+TEST_F (Two, ACallerThatLeavesIsNoticedWhileReadingIsPaused)
+{
+  Caller caller (http_server_port (a->callers));
+  std::string all;
+  for (int i = 0; i < 6; i++)
+    all += request ("GET", "/read/1", ("id-" + std::to_string (i)).c_str ());
+  caller.send (all);
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 4; }));
+  caller.shut ();
+  ASSERT_TRUE (wait ([&] { return entry_state (a->entry).open == 0; }));
+  EXPECT_EQ (4u, entry_state (a->entry).ends[ENTRY_GONE]);
+  EXPECT_TRUE (wait ([&] { return backend->gone == 4; }));
+  EXPECT_EQ (4u, backend->targets.size ());
+  EXPECT_EQ (0u, http_server_state (a->callers).connections);
+}
+
+struct LeftRow
+{
+  const char *name;
+  const char *method;
+  const char *path;
+};
+
+class Left : public Two, public testing::WithParamInterface<LeftRow>
+{
+};
+
+/* The request and the close are both there when the sidecar comes to read.  */
+TEST_P (Left, ARequestWithACloseBehindItReachesNoServer)
+{
+  Caller caller (http_server_port (a->callers));
+  caller.send (request (GetParam ().method, GetParam ().path, "id-1"));
+  caller.shut ();
+  ASSERT_TRUE (
+      wait ([&] { return entry_state (a->entry).ends[ENTRY_GONE] == 1; }));
+  Caller next (http_server_port (a->callers));
+  next.send (request ("GET", "/read/2", "id-2"));
+  ASSERT_TRUE (wait ([&] {
+    return !backend->targets.empty () && backend->targets.back () == "/read/2";
+  }));
+  EXPECT_EQ (1u, backend->targets.size ());
+}
+
+const LeftRow left_rows[] = {
+  { "Read", "GET", "/read/1" },
+  { "Booking", "POST", "/book/1" },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, Left, testing::ValuesIn (left_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+
+/* Starts runs at B as its peers do.  */
+class Runs : public Two
+{
+protected:
+  call_failure_t failure = {};
+  int ended = 0;
+  std::string fields; /* of the last call made */
+  call_sink_t sink = {
+    [] (void *ctx, const call_reply_t *, const char *, size_t, bool last) {
+      *(int *)ctx += last;
+    },
+    [] (void *ctx, const char *, size_t, bool last) { *(int *)ctx += last; },
+    [] (void *ctx, const call_failure_t *) { (*(int *)ctx)++; }, &ended
+  };
+
+  forward_call_t
+  call (const char *id, bool idempotent)
+  {
+    forward_call_t made = {};
+    made.attempt_id = id;
+    made.method = "GET";
+    made.target = "/run";
+    fields = "Host: h\r\nX-Attempt-Id: " + std::string (id) + "\r\n";
+    made.fields = fields.c_str ();
+    made.fields_size = fields.size ();
+    made.body = made.account = made.caller = made.route = "";
+    made.service = "s";
+    made.idempotent = idempotent;
+    made.deadline_us = loop.now_us + 5 * US_PER_S;
+    made.wait_us = US_PER_S;
+    return made;
+  }
+  run_t *
+  start (const forward_call_t &call)
+  {
+    run_t *run = nullptr;
+    EXPECT_EQ (START_TAKEN,
+               runner_start (b->runner, &call, &sink, &run, &failure));
+    return run;
+  }
+  /* Leaves an idle connection to the server.  */
+  void
+  run_one ()
+  {
+    start (call ("id-0", true));
+    ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+    answer_signed (backend->open[0], "id-0", "x");
+    backend->open.clear ();
+    ASSERT_TRUE (wait ([&] { return ended == 1; }));
+    backend->targets.clear ();
+  }
+};
+
+struct CancelRow
+{
+  const char *name;
+  bool idempotent;
+  bool kept; /* a connection to the server is open */
+};
+
+class Cancel : public Runs, public testing::WithParamInterface<CancelRow>
+{
+};
+
+TEST_P (Cancel, ARunThatIsCancelledBeforeItIsSentReachesNoServer)
+{
+  if (GetParam ().kept)
+    run_one ();
+  run_t *run = start (call ("id-1", GetParam ().idempotent));
+  run_cancel (run);
+  EXPECT_EQ (0u, runner_load (b->runner).running);
+  start (call ("id-2", true));
+  ASSERT_TRUE (wait ([&] { return !backend->open.empty (); }));
+  EXPECT_EQ (1u, backend->targets.size ());
+  EXPECT_EQ ("id-2", id_of (backend->open[0]));
+}
+
+const CancelRow cancel_rows[] = {
+  { "ReadWhileConnecting", true, false },
+  { "ReadOnAKeptConnection", true, true },
+  { "BookingWhileConnecting", false, false },
+  { "BookingOnAKeptConnection", false, true },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, Cancel, testing::ValuesIn (cancel_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+
+/* With its link nobody vouches for the caller any more; a question about the
+   run hears that it did not run.  */
+TEST_F (Runs, AQueuedBookingDoesNotOutliveItsLink)
+{
+  intake_server_t server = { 1, true, false, false, 0, 0 };
+  runner_set_server (b->runner, &server, "i");
+  start (call ("id-1", true));
+  run_t *queued = start (call ("id-2", false));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  run_detach (queued);
+  EXPECT_EQ (0u, runner_load (b->runner).queued);
+  run_t *asked = nullptr;
+  forward_call_t question = call ("id-2", false);
+  question.resume = true;
+  question.incarnation = 200;
+  EXPECT_EQ (START_REFUSED,
+             runner_start (b->runner, &question, &sink, &asked, &failure));
+  EXPECT_EQ (FAILURE_REFUSED, failure.failure);
+  EXPECT_EQ (1u, backend->targets.size ());
+}
+
+/* An answer that nobody takes any more is read to its end.  */
+TEST_F (Runs, ABookingWhoseCallerLeavesAmidItsAnswerGivesItsSlotBack)
+{
+  run_t *run = start (call ("id-1", false));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  std::string fields = "X-Attempt-Id: id-1\r\nX-Server-Signature: s\r\n";
+  std::string part (100000, 'x');
+  http_begin (backend->open[0], 200, fields.data (), fields.size (),
+              2 * part.size ());
+  http_piece (backend->open[0], part.data (), part.size ());
+  ASSERT_TRUE (wait ([&] { return http_unread (backend->open[0]) == 0; }));
+  run_pause (run, true);
+  run_cancel (run);
+  http_piece (backend->open[0], part.data (), part.size ());
+  http_end (backend->open[0]);
+  EXPECT_TRUE (wait ([&] { return runner_load (b->runner).running == 0; }));
+}
+
+/* A sidecar that reads late finds calls and their cancellations together.  */
+TEST_F (Runs, CallsThatAreCancelledBehindALongBacklogReachNoServer)
+{
+  run_one ();
+  peer_t *peer = peer_set_find (a->peers, peer_set_vm (b->peers));
+  std::string body (1000, 'x');
+  std::vector<peer_call_t *> sent;
+  for (int i = 0; i < 200; i++)
+    {
+      forward_call_t made = call ("id-1", true);
+      made.body = body.data ();
+      made.body_size = body.size ();
+      sent.push_back (peer_call (peer, &made, &sink));
+      ASSERT_NE (nullptr, sent.back ());
+    }
+  for (peer_call_t *at : sent)
+    peer_call_cancel (at);
+  forward_call_t next = call ("id-2", true);
+  ASSERT_NE (nullptr, peer_call (peer, &next, &sink));
+  ASSERT_TRUE (wait ([&] {
+    return !backend->open.empty () && id_of (backend->open.back ()) == "id-2";
+  }));
+  EXPECT_EQ (1u, backend->targets.size ());
+}
+
 TEST_F (Two, ABookingIsAskedAfterWhenItsLinkIsLost)
 {
   Caller caller (http_server_port (a->callers));
