Look for a close before a request that was just read is handed on

Cause: one read returns a request and the next one the end of the stream. A sidecar that reads late, whatever made it late, handed the request on in one turn and saw the close, which had been there all the time, in the next.

The server asks the kernel whether the peer has closed before it parses what it read; if so the connection ends and nothing of it is handed on. That does not depend on how late it is, nor on how much is unread before the close.

--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -618,6 +618,13 @@
     }
   if (connection->lingering || connection->last_read)
     return;
+  /* The close may be behind the request that was just read.  */
+  if (loop_peer_has_closed (reader->fd))
+    {
+      server->state.abandoned++;
+      connection_close (connection);
+      return;
+    }
   connection->since_us = server->loop->now_us;
   parse (connection, server->block, (size_t)size);
   if (size < READ_BYTES && !connection->dead && !connection->paused)
--- a/src/edge/loop.c
+++ b/src/edge/loop.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -123,6 +124,14 @@
   ev_timer_again (loop->ev, timer);
 }
 
+bool
+loop_peer_has_closed (int fd)
+{
+  struct pollfd look = { .fd = fd, .events = POLLRDHUP };
+  return poll (&look, 1, 0) > 0
+         && (look.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 struct sockaddr_in
 loop_sockaddr (endpoint_addr_t addr)
 {
--- a/src/edge/loop.h
+++ b/src/edge/loop.h
@@ -68,6 +68,10 @@
 /* Options of an accepted socket: no delay, and SILENCE_MS as above.  */
 void loop_tune (int fd, uint32_t silence_ms);
 
+/* Whether the peer has closed its side, or the connection is lost, however
+   much of what it sent is unread.  */
+bool loop_peer_has_closed (int fd);
+
 struct sockaddr_in loop_sockaddr (endpoint_addr_t addr);
 
 #endif
--- a/src/edge/metrics.c
+++ b/src/edge/metrics.c
@@ -79,6 +79,7 @@
 {
   put (to, "caller_connections", callers->connections);
   put (to, "caller_malformed_total", callers->malformed);
+  put (to, "caller_reads_abandoned_total", callers->abandoned);
   put (to, "caller_reads_paused_total", callers->paused);
   put_ms (to, "caller_gone_unseen_ms", callers->gone, HTTP_UNSEEN_SLOTS);
 }
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -250,9 +250,11 @@
     gone += callers.gone[i];
   event_log (&sidecar->log, EVENT_LIFE, "callers",
              "connections=%u gone=%llu unseen-ms-most=%lld "
-             "reads-paused=%llu orphaned=%llu loop-gap-ms-most=%lld",
+             "reads-abandoned=%llu reads-paused=%llu orphaned=%llu "
+             "loop-gap-ms-most=%lld",
              callers.connections, (unsigned long long)gone,
              (long long)(callers.unseen_most_us / US_PER_MS),
+             (unsigned long long)callers.abandoned,
              (unsigned long long)callers.paused,
              (unsigned long long)runner_state (sidecar->runner).orphaned,
              (long long)(sidecar->loop.gap_most_us / US_PER_MS));
