Tell a run's listener when another takes the run over

What callers saw: an answer that was ready never came (504 at the deadline), and a sidecar could end with signal 11.

Cause: a question about a run that must run once takes the run over, but the listener before kept its pointer to it. When the old link's end was read later (sidecars short of processor time), it silenced the new listener; once such a run had been refused and freed, the pointer was dangling. Two requests of callers with one attempt id did the same on one sidecar.

Evidence: Runs.TheEndOfAnOldLinkDoesNotTakeARunFromItsNewListener and Two.TwoRequestsWithOneIdEndEachOnItsOwn fail before: the second listener hears nothing.

The listener before is told that its answer is lost, so that one holder at most has the run.

--- a/src/edge/runner.c
+++ b/src/edge/runner.c
@@ -541,13 +541,22 @@
   return START_ANSWERED;
 }
 
+/* SINK takes RUN over.  The sink before it is told, so that nobody else holds
+   the run.  */
 static start_t
 listen_again (run_t *run, const call_sink_t *sink, call_failure_t *failure)
 {
   if (run->replied)
     return refuse_now (run->runner, failure, FAILURE_BROKEN, CAUSE_PEER_LOST);
+  call_sink_t before = run->sink;
+  bool listened = run->listening;
   run->sink = *sink;
   run->listening = true;
+  call_failure_t lost = { .failure = FAILURE_BROKEN,
+                          .cause = CAUSE_PEER_LOST,
+                          .load = intake_load (run->runner->intake) };
+  if (listened)
+    before.failed (before.ctx, &lost);
   return START_TAKEN;
 }
 
--- a/tests/mesh_edge_test.cc
+++ b/tests/mesh_edge_test.cc
@@ -558,6 +558,19 @@
       return placement_accepting (a->placement, "s") == 1;
     });
   }
+  /* Callers enter at the sidecar beside the backend server.  */
+  void
+  start_a_beside_the_server ()
+  {
+    a = std::make_unique<Sidecar> (&loop, &rng, &log, "s", backend->port (),
+                                   101);
+    a->set_backend ("i");
+    entry_set_policy (a->entry, policy);
+    placement_server_t server
+        = { peer_set_vm (a->peers), 101, "s", "z", "i", 10, true,
+            { 0, 0, 10, 0, 0 } };
+    placement_put (a->placement, &server, loop.now_us);
+  }
   std::string
   request (const char *method, const char *path, const char *id)
   {
@@ -915,6 +928,43 @@
   EXPECT_EQ (1u, backend->targets.size ());
 }
 
+/* A question takes a run over from the link that it came on first; the end of
+   that link is read later and changes nothing.  */
+TEST_F (Runs, TheEndOfAnOldLinkDoesNotTakeARunFromItsNewListener)
+{
+  start (call ("id-1", false));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  forward_call_t question = call ("id-1", false);
+  question.resume = true;
+  int heard = 0;
+  call_sink_t second = sink;
+  second.ctx = &heard;
+  run_t *asked = nullptr;
+  ASSERT_EQ (START_TAKEN,
+             runner_start (b->runner, &question, &second, &asked, &failure));
+  EXPECT_EQ (1, ended) << "the first listener is told and lets go";
+  answer_signed (backend->open[0], "id-1", "booked");
+  ASSERT_TRUE (wait ([&] { return runner_load (b->runner).running == 0; }));
+  EXPECT_EQ (1, heard);
+}
+
+/* Two requests with one id: the first must not keep a run that it no longer
+   hears of.  */
+TEST_F (Two, TwoRequestsWithOneIdEndEachOnItsOwn)
+{
+  start_a_beside_the_server ();
+  Caller first (http_server_port (a->callers));
+  Caller second (http_server_port (a->callers));
+  first.send (request ("POST", "/book/1", "id-1"));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  second.send (request ("POST", "/book/1", "id-1"));
+  ASSERT_TRUE (wait ([&] { return first.has ("\r\n\r\n"); }));
+  EXPECT_EQ (0u, first.got.find ("HTTP/1.1 502")) << first.got;
+  answer_signed (backend->open[0], "id-1", "booked");
+  ASSERT_TRUE (wait ([&] { return second.has ("booked"); }));
+  EXPECT_EQ (1u, backend->targets.size ());
+}
+
 TEST_F (Two, ABookingIsAskedAfterWhenItsLinkIsLost)
 {
   Caller caller (http_server_port (a->callers));
