Notice that a caller has left while reading is paused

What callers saw: runs went on for callers that had left, and requests that were pipelined behind them were sent as answers made room.

Cause: with 32 requests unanswered on a connection its reader is stopped, and a stopped reader sees no close. Each answer then read on, towards a close that was behind all that was unread.

Evidence: Two.ACallerThatLeavesIsNoticedWhileReadingIsPaused, red before.

That the users' clients pipeline deeper than the ones here is suspected, not shown.

--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -554,8 +554,7 @@
 {
   connection->paused = true;
   connection->server->state.paused++;
-  if (connection->paused_us == 0)
-    connection->paused_us = connection->server->loop->now_us;
+  connection->paused_us = connection->server->loop->now_us;
   bytes_append (&connection->in, rest, size);
   ev_io_stop (connection->server->loop->ev, &connection->reader);
 }
@@ -583,14 +582,27 @@
                                                                 : 400);
 }
 
+/* Ends the connection if its caller has left.  */
+static bool
+close_abandoned (http_connection_t *connection)
+{
+  if (!loop_peer_has_closed (connection->reader.fd))
+    return false;
+  connection->server->state.abandoned++;
+  connection_close (connection);
+  return true;
+}
+
 /* Goes on with what was read while too many requests waited.  */
 static void
 parse_ahead (http_connection_t *connection)
 {
   http_server_t *server = connection->server;
-  if (connection->dead || connection->waiting >= server->limits.pipelined)
+  if (connection->dead || connection->waiting >= server->limits.pipelined
+      || close_abandoned (connection))
     return;
   connection->paused = false;
+  connection->paused_us = 0;
   ev_io_start (server->loop->ev, &connection->reader);
   if (bytes_size (&connection->in) == 0 || connection->last_read)
     return;
@@ -619,16 +631,10 @@
   if (connection->lingering || connection->last_read)
     return;
   /* The close may be behind the request that was just read.  */
-  if (loop_peer_has_closed (reader->fd))
-    {
-      server->state.abandoned++;
-      connection_close (connection);
-      return;
-    }
+  if (close_abandoned (connection))
+    return;
   connection->since_us = server->loop->now_us;
   parse (connection, server->block, (size_t)size);
-  if (size < READ_BYTES && !connection->dead && !connection->paused)
-    connection->paused_us = 0;
 }
 
 /* --- the listener ------------------------------------------------------ */
@@ -679,6 +685,14 @@
     }
 }
 
+/* A close shows in no other way while nothing is read.  */
+static void
+check_paused (http_connection_t *connection)
+{
+  if (!close_abandoned (connection))
+    connection->paused_us = connection->server->loop->now_us;
+}
+
 /* Ends a connection that has made no progress for too long.  */
 static void
 sweep_one (http_connection_t *connection)
@@ -692,6 +706,8 @@
       if (quiet_us > LINGER_US)
         connection_close (connection);
     }
+  else if (connection->paused)
+    check_paused (connection);
   else if (reading != NULL)
     {
       bool in_head = reading->method == NULL;
