Cancel a run that must run once while its request is unsent

What callers saw: a booking of a caller that had left was sent to its backend server all the same.

Cause: such a run counted as running from the moment its request was handed to the client, whose flush comes at the end of the turn, or when the connection is open. A cancellation in that time was ignored as if the server had begun.

Evidence: Table/Cancel, both rows of bookings red before.

What decides is now whether a byte of the request has gone out. A run that is broken off before is recorded as one that never came, so that a question about it hears the truth. runs_orphaned_total counts the runs that do go on.

--- a/src/edge/runner.c
+++ b/src/edge/runner.c
@@ -641,22 +641,30 @@
   return START_TAKEN;
 }
 
+/* Whether the server may have begun with it.  */
+static bool
+has_begun (const run_t *run)
+{
+  return run->state == RUN_RUNNING && http_call_is_sent (run->call);
+}
+
 static void
 run_break_off (run_t *run)
 {
   runner_t *runner = run->runner;
+  bool begun = has_begun (run);
   run->listening = false;
   if (run->state == RUN_QUEUED)
     intake_withdraw (runner->intake, &run->entry);
   else
     {
       http_call_cancel (run->call);
-      give_slot_back (run, true);
+      give_slot_back (run, begun);
     }
   run->failed = true;
   run->failure
       = (call_failure_t){ .failure = FAILURE_LOST, .cause = CAUSE_CUT };
-  if (run->state == RUN_QUEUED)
+  if (!begun)
     run->failure = (call_failure_t){ .failure = FAILURE_REFUSED,
                                      .cause = CAUSE_NEVER_CAME };
   run_over (run);
@@ -666,9 +674,9 @@
 run_cancel (run_t *run)
 {
   run->listening = false;
-  if (run->state == RUN_RUNNING && run->once)
+  if (run->once && has_begun (run))
     {
-      run->runner->state.orphaned += !http_call_is_sent (run->call);
+      run->runner->state.orphaned++;
       return; /* its outcome counts, even with nobody waiting */
     }
   run_break_off (run);
--- a/src/edge/runner.h
+++ b/src/edge/runner.h
@@ -80,7 +80,7 @@
 {
   uint64_t started; /* runs that were sent to the server */
   uint64_t ended;
-  uint64_t orphaned; /* sent although their callers had left */
+  uint64_t orphaned; /* go on although nobody waits for the answer */
   uint64_t probes;
   uint64_t faults[CAUSE_COUNT];
   http_client_state_t connections;
