End a queued booking unrun when its link is lost

What callers saw: a booking that waited for a slot could start although nobody was known to wait for it, and although its caller could not be asked.

Cause: the loss of a link and a cancellation were told apart, and after a lost link a run that must run once went on even when it had not begun.

Evidence: Runs.AQueuedBookingDoesNotOutliveItsLink, red before: it stays queued, starts as the slot comes free and reaches the server.

Both are one event now: what the server may have begun goes on, anything else ends unrun and is recorded so. The test goes through a link now instead of calling run_detach, which is gone.

--- a/src/edge/peer.h
+++ b/src/edge/peer.h
@@ -34,9 +34,9 @@
   /* A call to serve.  It is answered by peer_stream_reply and so on, or
      refused at once by peer_stream_fail.  The call is borrowed.  */
   void (*call) (void *ctx, peer_stream_t *stream, const forward_call_t *call);
-  /* The caller gave up (GONE) or its link was lost.  The stream is freed on
-     return.  */
-  void (*cancel) (void *ctx, peer_stream_t *stream, bool gone);
+  /* The caller gave up or its link was lost.  The stream is freed on return.
+   */
+  void (*cancel) (void *ctx, peer_stream_t *stream);
   /* The caller took data: more may be sent.  */
   void (*credit) (void *ctx, peer_stream_t *stream);
   void (*want_document) (void *ctx, peer_t *peer);
--- a/src/edge/peer_stream.c
+++ b/src/edge/peer_stream.c
@@ -350,11 +350,11 @@
 }
 
 static void
-stream_cancel (peer_stream_t *stream, bool gone)
+stream_cancel (peer_stream_t *stream)
 {
   peer_handler_t *handler = &stream->link->peers->handler;
   if (stream->started)
-    handler->cancel (handler->ctx, stream, gone);
+    handler->cancel (handler->ctx, stream);
   stream_free (stream);
 }
 
@@ -370,7 +370,7 @@
     return true; /* it has ended meanwhile */
   if (kind == MESH_CANCEL)
     {
-      stream_cancel (stream, true);
+      stream_cancel (stream);
       return true;
     }
   stream->unacked
@@ -531,7 +531,7 @@
 {
   for (uint32_t i = 0; i < link->streams.room; i++)
     if (link->streams.items[i] != NULL)
-      stream_cancel (link->streams.items[i], false);
+      stream_cancel (link->streams.items[i]);
   for (uint32_t i = 0; i < link->calls.room; i++)
     if (link->calls.items[i] != NULL)
       call_lost (link, link->calls.items[i]);
--- a/src/edge/runner.c
+++ b/src/edge/runner.c
@@ -682,14 +682,6 @@
   run_break_off (run);
 }
 
-void
-run_detach (run_t *run)
-{
-  run->listening = false;
-  if (!run->once)
-    run_break_off (run);
-}
-
 void
 run_pause (run_t *run, bool pause)
 {
--- a/src/edge/runner.h
+++ b/src/edge/runner.h
@@ -55,11 +55,10 @@
                       const call_sink_t *sink, run_t **run,
                       call_failure_t *failure);
 
-/* The caller is gone; no callback follows.  A run that must not be broken off
-   goes on, and its answer is kept for a question about it.  */
+/* The caller is gone, or the way to it is lost; no callback follows.  A run
+   that must run once and that the server may have begun goes on, and its
+   answer is kept for a question about it.  Any other ends unrun.  */
 void run_cancel (run_t *run);
-/* The way to the caller is lost; the same.  */
-void run_detach (run_t *run);
 
 /* Stops or goes on reading the answer.  */
 void run_pause (run_t *run, bool pause);
--- a/src/edge/serve.c
+++ b/src/edge/serve.c
@@ -64,13 +64,10 @@
 }
 
 void
-serve_cancel (peer_stream_t *stream, bool gone)
+serve_cancel (peer_stream_t *stream)
 {
   served_t *served = peer_stream_user (stream);
-  if (gone)
-    run_cancel (served->run);
-  else
-    run_detach (served->run);
+  run_cancel (served->run);
   free (served);
 }
 
--- a/src/edge/serve.h
+++ b/src/edge/serve.h
@@ -16,7 +16,7 @@
 
 void serve_call (serve_t *serve, peer_stream_t *stream,
                  const forward_call_t *call);
-void serve_cancel (peer_stream_t *stream, bool gone);
+void serve_cancel (peer_stream_t *stream);
 void serve_credit (peer_stream_t *stream);
 
 #endif
--- a/src/edge/sidecar_report.c
+++ b/src/edge/sidecar_report.c
@@ -241,10 +241,10 @@
 }
 
 static void
-on_cancel (void *ctx, peer_stream_t *stream, bool gone)
+on_cancel (void *ctx, peer_stream_t *stream)
 {
   (void)ctx;
-  serve_cancel (stream, gone);
+  serve_cancel (stream);
 }
 
 static void
--- a/tests/mesh_edge_test.cc
+++ b/tests/mesh_edge_test.cc
@@ -471,9 +471,9 @@
     serve_call (&((Sidecar *)ctx)->serve, stream, call);
   }
   static void
-  on_cancel (void *, peer_stream_t *stream, bool gone)
+  on_cancel (void *, peer_stream_t *stream)
   {
-    serve_cancel (stream, gone);
+    serve_cancel (stream);
   }
   static void
   on_credit (void *, peer_stream_t *stream)
@@ -871,17 +871,21 @@
   intake_server_t server = { 1, true, false, false, 0, 0 };
   runner_set_server (b->runner, &server, "i");
   start (call ("id-1", true));
-  run_t *queued = start (call ("id-2", false));
-  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
-  run_detach (queued);
+  forward_call_t booking = call ("id-2", false);
+  ASSERT_NE (nullptr,
+             peer_call (peer_set_find (a->peers, peer_set_vm (b->peers)),
+                        &booking, &sink));
+  ASSERT_TRUE (wait ([&] { return runner_load (b->runner).queued == 1; }));
+  a.reset ();
+  ASSERT_TRUE (wait ([&] { return peer_set_state (b->peers).up == 0; }));
   EXPECT_EQ (0u, runner_load (b->runner).queued);
   run_t *asked = nullptr;
-  forward_call_t question = call ("id-2", false);
-  question.resume = true;
-  question.incarnation = 200;
+  booking.resume = true;
+  booking.incarnation = 200;
   EXPECT_EQ (START_REFUSED,
-             runner_start (b->runner, &question, &sink, &asked, &failure));
+             runner_start (b->runner, &booking, &sink, &asked, &failure));
   EXPECT_EQ (FAILURE_REFUSED, failure.failure);
+  EXPECT_EQ (CAUSE_NEVER_CAME, failure.cause);
   EXPECT_EQ (1u, backend->targets.size ());
 }
 
