Read on when the caller of a booking leaves amid its answer

What callers saw: nothing at once; the backend server had one slot less for good, so others waited or were refused.

Cause: reading a long answer is paused while its caller does not take it. When that caller left, a run that must run once went on, but its reader stayed paused: neither the rest of the answer nor the server's close was ever seen.

Evidence: Runs.ABookingWhoseCallerLeavesAmidItsAnswerGivesItsSlotBack, red before.

The reader goes on, to the end of the answer, when nobody waits for it.

--- a/src/edge/runner.c
+++ b/src/edge/runner.c
@@ -676,8 +676,10 @@
   run->listening = false;
   if (run->once && has_begun (run))
     {
+      /* Its outcome counts, even with nobody waiting.  */
       run->runner->state.orphaned++;
-      return; /* its outcome counts, even with nobody waiting */
+      http_call_pause (run->call, false);
+      return;
     }
   run_break_off (run);
 }
