Read a link's backlog whole before anything of it is sent

What callers saw: nothing; backend servers began calls that had been cancelled already, when the sidecar beside them read late.

Cause: one read a turn, 64 KB at most. A call at its end was started in one turn and its cancellation, which was there all the time, was read in the next.

A link is read until nothing is left, in at most 64 reads a turn; requests leave at the end of the turn, so that a cancellation in the same backlog is in time.

--- a/src/edge/peer_link.c
+++ b/src/edge/peer_link.c
@@ -10,6 +10,7 @@
 enum
 {
   READ_BYTES = 64 * 1024,       /* taken from a socket in one call */
+  READS_A_TURN = 64,            /* of one link, so that others get theirs */
   FRAME_HEAD_BYTES = 8,         /* size of what follows, and kind */
   FRAME_MOST = 8 * 1024 * 1024, /* larger ones are malformed */
   REPORT_ROOM = 256 * 1024
@@ -190,26 +191,37 @@
   return true;
 }
 
-static void
-on_readable (struct ev_loop *ev, ev_io *reader, int events)
+/* True when more may be there to read.  */
+static bool
+read_once (peer_link_t *link)
 {
-  peer_link_t *link = reader->data;
-  (void)ev;
-  (void)events;
   char *at = bytes_reserve (&link->in, READ_BYTES);
-  ssize_t size = recv (reader->fd, at, READ_BYTES, 0);
+  ssize_t size = recv (link->reader.fd, at, READ_BYTES, 0);
   if (size < 0 && (errno == EAGAIN || errno == EINTR))
-    return;
+    return false;
   if (size <= 0)
     {
       link_close (link);
-      return;
+      return false;
     }
   bytes_added (&link->in, (size_t)size);
   if (link->heard_us > 0)
     link->heard_us = link->peers->loop->now_us;
   if (!read_frames (link))
     link_close (link);
+  return !link->dead;
+}
+
+/* Reads a backlog whole, as calls may be followed by their cancellations: what
+   both came for in one turn is not sent to the backend server.  */
+static void
+on_readable (struct ev_loop *ev, ev_io *reader, int events)
+{
+  peer_link_t *link = reader->data;
+  (void)ev;
+  (void)events;
+  for (int i = 0; i < READS_A_TURN && read_once (link); i++)
+    ;
 }
 
 static void
