Send nothing to a server before its configuration is known

Cause: the rate that a cold server bears stands in the configuration. A sidecar that the store refused had none for 0.45 s, knew that its server was cold, and took a rate that is not known for none at all.

Ruled out: requests that bunch up while connections open (17 at most), a second sidecar's share (the server is down between the two).

The server counts as unknown until the first configuration, so nothing is sent to it and peers do not place there. The same holds for a zone that is out.

--- a/src/edge/backend_watch.c
+++ b/src/edge/backend_watch.c
@@ -22,19 +22,28 @@
   server_view_t view;
   char health_path[PATH_BYTES]; /* "" is none yet */
   double cold_per_s;
+  bool configured; /* what the server bears is known */
   bool zone_out;
   bool probing;
   bool was_cold;
   int64_t probe_us; /* when the last one was sent */
 };
 
+/* Whether the server can be used.  Without a configuration neither the rate
+   that it bears while cold is known, nor whether its zone is out.  */
+static bool
+is_usable (const backend_watch_t *watch)
+{
+  return watch->configured && server_view_is_known (&watch->view);
+}
+
 static void
 apply (backend_watch_t *watch)
 {
   const server_view_t *view = &watch->view;
   intake_server_t server = {
     .slots = view->slots,
-    .known = server_view_is_known (view),
+    .known = is_usable (watch),
     .leaving = view->leaving || view->gone,
     .zone_out = watch->zone_out,
     .cold_until_us = view->cold_until_us,
@@ -207,7 +216,12 @@
             service->health_path);
   watch->cold_per_s = service->cold_per_s;
   watch->view.cold_us = service->cold_us;
-  apply (watch);
+  bool first = !watch->configured;
+  watch->configured = true;
+  if (first)
+    changed (watch, "configuration");
+  else
+    apply (watch);
 }
 
 const server_view_t *
@@ -219,8 +233,7 @@
 bool
 backend_watch_accepting (const backend_watch_t *watch)
 {
-  return server_view_is_known (&watch->view) && !watch->view.leaving
-         && !watch->zone_out;
+  return is_usable (watch) && !watch->view.leaving && !watch->zone_out;
 }
 
 backend_watch_t *
--- a/src/edge/backend_watch.h
+++ b/src/edge/backend_watch.h
@@ -21,7 +21,8 @@
 void backend_watch_free (backend_watch_t *watch);
 
 /* The service's path for health checks and cold starts, by the
-   configuration; NULL while it is not in it.  */
+   configuration; NULL while it is not in it.  Nothing is sent to the server
+   before the first.  */
 void backend_watch_set_service (backend_watch_t *watch,
                                 const policy_service_t *service);
 
