--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -13,6 +13,7 @@
 {
   TICK_US = 50 * US_PER_MS,
   TICK_LEAST_US = 2 * US_PER_MS,
+  LATE_US = 100 * US_PER_MS, /* between two turns, worth a line */
   WHOLE_REPORTS = 8,  /* one in so many tells all, not changes */
   FAR_REPORTS = 2,    /* one in so many goes to other availability zones */
   FAR_FLEET = 24,     /* sidecars up to which each does */
@@ -240,6 +241,17 @@
     }
 }
 
+/* Sockets went unread for long: the process had no processor time, or spent
+   it on one turn.  */
+static void
+log_late_loop (sidecar_t *sidecar)
+{
+  int64_t gap_us = sidecar->loop.now_us - sidecar->loop.previous_us;
+  if (gap_us >= LATE_US)
+    event_log (&sidecar->log, EVENT_BELIEF, "loop-late", "gap-ms=%lld",
+               (long long)(gap_us / US_PER_MS));
+}
+
 /* How callers have left since the start, and what may have hidden it.  */
 static void
 log_callers (sidecar_t *sidecar)
@@ -289,6 +301,7 @@
   (void)ev;
   (void)events;
   sidecar_catch_up (sidecar);
+  log_late_loop (sidecar);
   int64_t due_us = runner_tick (sidecar->runner) - sidecar->loop.now_us;
   if (due_us < TICK_LEAST_US)
     due_us = TICK_LEAST_US;
