Go on reading in a task of its own

Found while reading the diff, not seen: since closes are looked for before reading goes on, a connection could end in the middle of the end of one of its own runs, when another request of it was refused in that moment; the run would then have been cancelled while it was ending. Reading on is deferred to the end of the turn, where nobody is in the middle of a request. No run shows it, so there is no test; mesh_, platform_ tests: 215 passed, 0 failed.

--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -32,8 +32,9 @@
   http_exchange_t **last;
   uint32_t waiting;
   loop_task_t flush;
-  int64_t since_us;  /* last progress */
-  int64_t paused_us; /* since when a close goes unnoticed, or 0 */
+  loop_task_t resume; /* goes on reading */
+  int64_t since_us;   /* last progress */
+  int64_t paused_us;  /* since when a close goes unnoticed, or 0 */
   uint32_t peer_ip;
   int error_status; /* of a malformed request, or 0 */
   bool paused;
@@ -41,7 +42,6 @@
   bool closing;   /* close when all is written */
   bool lingering; /* write side is shut, reading until the caller closes */
   bool dead;
-  bool parsing;
 } http_connection_t;
 
 struct http_server_t
@@ -139,6 +139,7 @@
   ev_io_stop (server->loop->ev, &connection->reader);
   ev_io_stop (server->loop->ev, &connection->writer);
   loop_drop (server->loop, &connection->flush);
+  loop_drop (server->loop, &connection->resume);
   close (connection->reader.fd);
   exchanges_drop (connection);
   if (connection->prev != NULL)
@@ -181,8 +182,6 @@
   ev_io_start (connection->server->loop->ev, &connection->reader);
 }
 
-static void parse_ahead (http_connection_t *connection);
-
 static void
 notify_drained (http_connection_t *connection)
 {
@@ -269,8 +268,8 @@
         bytes_move (&connection->out, &connection->first->out);
     }
   want_flush (connection);
-  if (connection->paused && !connection->parsing)
-    parse_ahead (connection);
+  if (connection->paused && !connection->dead)
+    loop_defer (connection->server->loop, &connection->resume);
 }
 
 /* Whether this answer is the last one on its connection.  */
@@ -562,10 +561,8 @@
 static void
 parse (http_connection_t *connection, const char *data, size_t size)
 {
-  connection->parsing = true;
   size_t used = http_parser_execute (&connection->parser, &parser_settings,
                                      data, size);
-  connection->parsing = false;
   if (connection->dead)
     return;
   enum http_errno code = HTTP_PARSER_ERRNO (&connection->parser);
@@ -593,12 +590,15 @@
   return true;
 }
 
-/* Goes on with what was read while too many requests waited.  */
+/* Goes on with what was read while too many requests waited.  A task of its
+   own, as it may end other requests of the connection: whoever has just
+   answered one may be in the middle of theirs.  */
 static void
-parse_ahead (http_connection_t *connection)
+parse_ahead (void *ctx)
 {
+  http_connection_t *connection = ctx;
   http_server_t *server = connection->server;
-  if (connection->dead || connection->waiting >= server->limits.pipelined
+  if (!connection->paused || connection->waiting >= server->limits.pipelined
       || close_abandoned (connection))
     return;
   connection->paused = false;
@@ -652,6 +652,7 @@
   connection->since_us = server->loop->now_us;
   connection->flush
       = (loop_task_t){ .run = connection_flush, .ctx = connection };
+  connection->resume = (loop_task_t){ .run = parse_ahead, .ctx = connection };
   http_parser_init (&connection->parser, HTTP_REQUEST);
   connection->parser.data = connection;
   ev_io_init (&connection->reader, on_readable, fd, EV_READ);
