--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -14,7 +14,7 @@
   TICK_US = 50 * US_PER_MS,
   TICK_LEAST_US = 2 * US_PER_MS,
   LATE_US = 100 * US_PER_MS, /* between two turns, worth a line */
-  WHOLE_REPORTS = 8,  /* one in so many tells all, not changes */
+  WHOLE_REPORTS = 8,         /* one in so many tells all, not changes */
   FAR_REPORTS = 2,    /* one in so many goes to other availability zones */
   FAR_FLEET = 24,     /* sidecars up to which each does */
   RATIO_REPORTS = 40, /* one in so many tells what calls what */
