--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -102,7 +102,7 @@
   uint32_t exchanges; /* read and not yet answered */
   uint64_t body_bytes;
   uint64_t malformed;
-  uint64_t abandoned; /* reads dropped, as their callers had left */
+  uint64_t abandoned; /* connections found closed before a read was parsed */
   uint64_t paused;    /* times that reading a connection was */
   /* Requests whose callers left, by how long that may have gone unnoticed.  */
   uint64_t gone[HTTP_UNSEEN_SLOTS];
--- a/src/edge/loop.h
+++ b/src/edge/loop.h
@@ -30,13 +30,14 @@
   struct ev_loop *ev;
   const clock_source_t *clock; /* borrowed */
   int64_t now_us;              /* monotonic, as of this turn */
-  int64_t previous_us;         /* the same of the turn before */
+  int64_t previous_us;         /* now_us of the turn before */
   loop_task_t *first;          /* tasks due at the end of this turn */
   loop_task_t **last;
   ev_prepare prepare;
   ev_check check;
   uint64_t turns;
-  /* Turns by the time since the one before, in which sockets went unread.  */
+  /* Turns counted by the time since the turn before, while sockets went
+     unread.  */
   uint64_t gaps[LOOP_GAPS];
   int64_t gap_most_us;
 } loop_t;
--- a/src/edge/peer_link.c
+++ b/src/edge/peer_link.c
@@ -212,8 +212,8 @@
   return !link->dead;
 }
 
-/* Reads a backlog whole, as calls may be followed by their cancellations: what
-   both came for in one turn is not sent to the backend server.  */
+/* Reads a backlog whole: calls go out at the end of the turn, so a call whose
+   cancellation is read in the same turn is never sent.  */
 static void
 on_readable (struct ev_loop *ev, ev_io *reader, int events)
 {
--- a/src/edge/runner.c
+++ b/src/edge/runner.c
@@ -217,13 +217,15 @@
                    run->runner->loop->now_us);
 }
 
-/* Whether the server may have begun with it.  */
+/* Whether the server may have begun to work on RUN.  */
 static bool
 has_begun (const run_t *run)
 {
   return run->state == RUN_RUNNING && http_call_is_sent (run->call);
 }
 
+/* Ends RUN without a callback.  What the server has not begun is recorded as a
+   call that never came.  */
 static void
 run_break_off (run_t *run)
 {
@@ -579,8 +581,8 @@
   return START_ANSWERED;
 }
 
-/* SINK takes RUN over.  The sink before it is told, so that nobody else holds
-   the run.  */
+/* SINK takes RUN over.  The previous sink is told that its answer is lost, so
+   that one holder at most keeps a pointer to the run.  */
 static start_t
 listen_again (run_t *run, const call_sink_t *sink, call_failure_t *failure)
 {
