Free the runs that are open when a runner ends

A sidecar cancels all of them before, so no caller saw anything; only runs that must run once were freed with the table of attempts.

The runner keeps its open runs in a list and frees them.

--- a/src/edge/runner.c
+++ b/src/edge/runner.c
@@ -92,6 +92,31 @@
     }
 }
 
+/* --- runs that have not ended ------------------------------------------ */
+
+static void
+open_run (run_t *run)
+{
+  runner_t *runner = run->runner;
+  run->open_next = runner->open_first;
+  if (runner->open_first != NULL)
+    runner->open_first->open_prev = run;
+  runner->open_first = run;
+  runner->open++;
+}
+
+static void
+close_run (run_t *run)
+{
+  if (run->open_prev != NULL)
+    run->open_prev->open_next = run->open_next;
+  else
+    run->runner->open_first = run->open_next;
+  if (run->open_next != NULL)
+    run->open_next->open_prev = run->open_prev;
+  run->runner->open--;
+}
+
 /* --- runs that may have crashed the server ------------------------------ */
 
 static void
@@ -143,7 +168,7 @@
 run_over (run_t *run)
 {
   run->state = RUN_ENDED;
-  run->runner->open--;
+  close_run (run);
   if (run->once)
     keep (run);
   else
@@ -674,7 +699,7 @@
       run_send (made);
       break;
     }
-  runner->open++;
+  open_run (made);
   if (!call->idempotent)
     attempt_add (made);
   *run = made;
@@ -731,6 +756,13 @@
   if (runner == NULL)
     return;
   http_client_free (runner->client);
+  while (runner->open_first != NULL)
+    {
+      run_t *run = runner->open_first;
+      close_run (run);
+      if (!run->once) /* the others are in the table */
+        run_free (run);
+    }
   for (size_t i = 0; i < BUCKETS; i++)
     while (runner->attempts[i] != NULL)
       {
--- a/src/edge/runner.h
+++ b/src/edge/runner.h
@@ -36,6 +36,7 @@
                       endpoint_addr_t server, uint64_t incarnation,
                       call_learner_t *learner, crash_suspects_t *suspects,
                       const runner_handler_t *handler);
+/* Ends open runs without a callback.  */
 void runner_free (runner_t *runner);
 
 /* SERVER_ID is the instance that requests are meant for.  */
--- a/src/edge/runner_impl.h
+++ b/src/edge/runner_impl.h
@@ -22,8 +22,10 @@
 struct run_t
 {
   runner_t *runner;
-  run_t *next;  /* in its bucket */
-  run_t *older; /* kept ones, by end */
+  run_t *next;      /* in its bucket */
+  run_t *older;     /* kept ones, by end */
+  run_t *open_next; /* of those that have not ended */
+  run_t *open_prev;
   run_state_t state;
   intake_entry_t entry;
   call_sink_t sink;
@@ -76,6 +78,7 @@
   run_t *attempts[BUCKETS];
   run_t *kept_first; /* ended, oldest first */
   run_t **kept_last;
+  run_t *open_first;
   uint32_t open;
   uint32_t accounts; /* seed of the accounts' numbers */
   runner_state_t state;
