--- a/src/edge/runner.c
+++ b/src/edge/runner.c
@@ -756,10 +756,10 @@
   if (runner == NULL)
     return;
   http_client_free (runner->client);
-  while (runner->open_first != NULL)
+  run_t *next;
+  for (run_t *run = runner->open_first; run != NULL; run = next)
     {
-      run_t *run = runner->open_first;
-      close_run (run);
+      next = run->open_next;
       if (!run->once) /* the others are in the table */
         run_free (run);
     }
