--- a/tests/support_world.c
+++ b/tests/support_world.c
@@ -355,10 +355,10 @@
 static void
 backend_crash (sidecar_t *at)
 {
-  while (at->works != NULL)
-    work_free (at->works);
   http_server_free (at->backend);
   at->backend = NULL;
+  while (at->works != NULL)
+    work_free (at->works);
 }
 
 /* --- calls to the sidecars --------------------------------------------- */
