Split the runner by job

runner.c starts and cancels runs, runner_answer.c hears of them and ends them, runner_table.c keeps open runs and attempts. A field that nothing read goes.

--- a/src/edge/runner_impl.h
+++ b/src/edge/runner_impl.h
@@ -1,8 +1,9 @@
 #ifndef REDWINGFORD_RUNNER_IMPL_H
 #define REDWINGFORD_RUNNER_IMPL_H
 
-/* Shared by runner.c, which runs calls, and runner_probe.c, which checks the
-   health of the server.  */
+/* Shared by runner.c, which starts and cancels runs, runner_table.c, which
+   keeps them, runner_answer.c, which hears of them and ends them, and
+   runner_probe.c, which checks the health of the server.  */
 
 #include "edge/runner.h"
 
@@ -80,8 +81,45 @@
   run_t **kept_last;
   run_t *open_first;
   uint32_t open;
-  uint32_t accounts; /* seed of the accounts' numbers */
   runner_state_t state;
 };
 
+/* --- runner.c ---------------------------------------------------------- */
+
+/* Sends RUN, which holds a slot, to the server.  */
+void run_send (run_t *run);
+
+/* --- runner_table.c ---------------------------------------------------- */
+
+/* Attempts that must run once, by id.  NULL when there is none.  */
+run_t *attempt_find (runner_t *runner, const char *id);
+void attempt_add (run_t *run);
+void attempt_remove (run_t *run);
+
+/* Keeps the end of RUN for questions about it; it is freed when it is old.  */
+void run_keep (run_t *run);
+void runner_drop_old (runner_t *runner);
+
+/* RUN begins and ends to count as open.  */
+void run_open (run_t *run);
+void run_close (run_t *run);
+void run_free (run_t *run);
+
+/* --- runner_answer.c --------------------------------------------------- */
+
+http_reply_handler_t run_reply_handler (run_t *run);
+
+/* Ends RUN and tells its sink.  */
+void run_fail (run_t *run, failure_t failure, cause_t cause);
+
+/* Ends RUN without a callback.  What the server has not begun is recorded as a
+   call that never came.  */
+void run_break_off (run_t *run);
+
+/* Whether the server may have begun to work on RUN.  */
+bool run_has_begun (const run_t *run);
+
+/* The server is gone: what it cut lately counts as run when it crashed.  */
+void runner_count_crash (runner_t *runner);
+
 #endif
