Split the tests of the edge; one fixture and one histogram writer

The fixtures go to support_edge.h, which mesh_store_test uses as well instead of a copy; callers that leave, endless servers and restarts get programs of their own, under the same test names. metrics.c writes both kinds of histogram with one function.

--- a/src/edge/entry_end.c
+++ b/src/edge/entry_end.c
@@ -33,7 +33,7 @@
 count_latency (entry_point_t *entry, int64_t us)
 {
   uint32_t bucket = 0;
-  while (us > 1 && bucket < 23)
+  while (us > 1 && bucket < LATENCY_SLOTS - 1)
     {
       us >>= 1;
       bucket++;
--- a/src/edge/entry_point.h
+++ b/src/edge/entry_point.h
@@ -81,6 +81,11 @@
 /* The handler of the callers' listener.  */
 http_handler_t entry_handler (entry_point_t *entry);
 
+enum
+{
+  LATENCY_SLOTS = 24
+};
+
 typedef struct entry_state_t
 {
   uint32_t open;
@@ -89,8 +94,8 @@
   uint64_t calls;                /* of the backend server beside */
   uint64_t local;                /* placed on the own VM */
   uint64_t remote;
-  uint64_t far;            /* of those, in another availability zone */
-  uint64_t latency_us[24]; /* count by power of two of microseconds */
+  uint64_t far; /* of those, in another availability zone */
+  uint64_t latency_us[LATENCY_SLOTS]; /* by power of two of microseconds */
 } entry_state_t;
 
 /* Mean time that runs of ROUTE take; 0 before the first.  */
--- a/src/edge/metrics.c
+++ b/src/edge/metrics.c
@@ -16,6 +16,21 @@
                 (unsigned long long)value);
 }
 
+/* A histogram of COUNTS, the first of them up to FIRST and each of the others
+   up to twice the one before.  */
+static void
+put_powers (bytes_t *to, const char *name, uint64_t first,
+            const uint64_t *counts, uint32_t slots)
+{
+  uint64_t sum = 0;
+  for (uint32_t i = 0; i < slots; i++)
+    {
+      sum += counts[i];
+      bytes_format (to, "redwingford_%s_bucket{le=\"%llu\"} %llu\n", name,
+                    (unsigned long long)first << i, (unsigned long long)sum);
+    }
+}
+
 static void
 put_entry (bytes_t *to, const entry_state_t *entry)
 {
@@ -31,13 +46,7 @@
     if (entry->retries[i] > 0)
       put_labelled (to, "retries_total", "cause", cause_name ((cause_t)i),
                     entry->retries[i]);
-  uint64_t sum = 0;
-  for (int i = 0; i < 24; i++)
-    {
-      sum += entry->latency_us[i];
-      bytes_format (to, "redwingford_latency_us_bucket{le=\"%llu\"} %llu\n",
-                    2ULL << i, (unsigned long long)sum);
-    }
+  put_powers (to, "latency_us", 2, entry->latency_us, LATENCY_SLOTS);
 }
 
 static void
@@ -61,19 +70,6 @@
   put (to, "backend_slow_permille", load->slow_permille);
 }
 
-/* Counts by power of two of milliseconds.  */
-static void
-put_ms (bytes_t *to, const char *name, const uint64_t *counts, uint32_t slots)
-{
-  uint64_t sum = 0;
-  for (uint32_t i = 0; i < slots; i++)
-    {
-      sum += counts[i];
-      bytes_format (to, "redwingford_%s_bucket{le=\"%u\"} %llu\n", name,
-                    1U << i, (unsigned long long)sum);
-    }
-}
-
 static void
 put_callers (bytes_t *to, const http_server_state_t *callers)
 {
@@ -81,7 +77,8 @@
   put (to, "caller_malformed_total", callers->malformed);
   put (to, "caller_reads_abandoned_total", callers->abandoned);
   put (to, "caller_reads_paused_total", callers->paused);
-  put_ms (to, "caller_gone_unseen_ms", callers->gone, HTTP_UNSEEN_SLOTS);
+  put_powers (to, "caller_gone_unseen_ms", 1, callers->gone,
+              HTTP_UNSEEN_SLOTS);
 }
 
 static void
@@ -96,7 +93,7 @@
       put (to, "memory_peak_kb", (uint64_t)usage.ru_maxrss);
     }
   put (to, "loop_turns_total", parts->loop->turns);
-  put_ms (to, "loop_gap_ms", parts->loop->gaps, LOOP_GAPS);
+  put_powers (to, "loop_gap_ms", 1, parts->loop->gaps, LOOP_GAPS);
   put (to, "log_lines_total", parts->log->written);
   put (to, "log_lines_lost_total", parts->log->lost);
 }
--- /dev/null
+++ b/tests/mesh_leaving_test.cc
@@ -0,0 +1,210 @@
+/* Callers that leave before their answer: nothing is begun or goes on for
+   nobody.  */
+
+#include "support_edge.h"
+
+namespace
+{
+TEST_F (Two, ACallerThatLeavesStopsARunThatMayStop)
+{
+  Caller caller (http_server_port (a->callers));
+  caller.send (request ("GET", "/read/1", "id-1"));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  caller.shut ();
+  EXPECT_TRUE (wait ([&] { return backend->gone == 1; }));
+}
+
+/* A close is not hidden by requests that wait to be read.  */
+TEST_F (Two, ACallerThatLeavesIsNoticedWhileReadingIsPaused)
+{
+  Caller caller (http_server_port (a->callers));
+  std::string all;
+  for (int i = 0; i < 6; i++)
+    all += request ("GET", "/read/1", ("id-" + std::to_string (i)).c_str ());
+  caller.send (all);
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 4; }));
+  caller.shut ();
+  ASSERT_TRUE (wait ([&] { return entry_state (a->entry).open == 0; }));
+  EXPECT_EQ (4u, entry_state (a->entry).ends[ENTRY_GONE]);
+  EXPECT_TRUE (wait ([&] { return backend->gone == 4; }));
+  EXPECT_EQ (4u, backend->targets.size ());
+  EXPECT_EQ (0u, http_server_state (a->callers).connections);
+}
+
+struct LeftRow
+{
+  const char *name;
+  const char *method;
+  const char *path;
+};
+
+class Left : public Two, public testing::WithParamInterface<LeftRow>
+{
+};
+
+/* The request and the close are both there when the sidecar comes to read.  */
+TEST_P (Left, ARequestWithACloseBehindItReachesNoServer)
+{
+  Caller caller (http_server_port (a->callers));
+  caller.send (request (GetParam ().method, GetParam ().path, "id-1"));
+  caller.shut ();
+  Caller next (http_server_port (a->callers));
+  next.send (request ("GET", "/read/2", "id-2"));
+  ASSERT_TRUE (wait ([&] {
+    return !backend->targets.empty () && backend->targets.back () == "/read/2"
+           && http_server_state (a->callers).connections == 1;
+  }));
+  EXPECT_EQ (1u, backend->targets.size ());
+}
+
+const LeftRow left_rows[] = {
+  { "Read", "GET", "/read/1" },
+  { "Booking", "POST", "/book/1" },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, Left, testing::ValuesIn (left_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+
+struct CancelRow
+{
+  const char *name;
+  bool idempotent;
+  bool kept; /* a connection to the server is open */
+};
+
+class Cancel : public Runs, public testing::WithParamInterface<CancelRow>
+{
+};
+
+TEST_P (Cancel, ARunThatIsCancelledBeforeItIsSentReachesNoServer)
+{
+  if (GetParam ().kept)
+    run_one ();
+  run_t *run = start (call ("id-1", GetParam ().idempotent));
+  run_cancel (run);
+  EXPECT_EQ (0u, runner_load (b->runner).running);
+  start (call ("id-2", true));
+  ASSERT_TRUE (wait ([&] { return !backend->open.empty (); }));
+  EXPECT_EQ (1u, backend->targets.size ());
+  EXPECT_EQ ("id-2", id_of (backend->open[0]));
+}
+
+const CancelRow cancel_rows[] = {
+  { "ReadWhileConnecting", true, false },
+  { "ReadOnAKeptConnection", true, true },
+  { "BookingWhileConnecting", false, false },
+  { "BookingOnAKeptConnection", false, true },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, Cancel, testing::ValuesIn (cancel_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+
+/* With its link nobody vouches for the caller any more; a question about the
+   run hears that it did not run.  */
+TEST_F (Runs, AQueuedBookingDoesNotOutliveItsLink)
+{
+  intake_server_t server = { 1, true, false, false, 0, 0 };
+  runner_set_server (b->runner, &server, "i");
+  start (call ("id-1", true));
+  forward_call_t booking = call ("id-2", false);
+  ASSERT_NE (nullptr,
+             peer_call (peer_set_find (a->peers, peer_set_vm (b->peers)),
+                        &booking, &sink));
+  ASSERT_TRUE (wait ([&] { return runner_load (b->runner).queued == 1; }));
+  a.reset ();
+  ASSERT_TRUE (wait ([&] { return peer_set_state (b->peers).up == 0; }));
+  EXPECT_EQ (0u, runner_load (b->runner).queued);
+  run_t *asked = nullptr;
+  booking.resume = true;
+  booking.incarnation = 200;
+  EXPECT_EQ (START_REFUSED,
+             runner_start (b->runner, &booking, &sink, &asked, &failure));
+  EXPECT_EQ (FAILURE_REFUSED, failure.failure);
+  EXPECT_EQ (CAUSE_NEVER_CAME, failure.cause);
+  EXPECT_EQ (1u, backend->targets.size ());
+}
+
+/* An answer that nobody takes any more is read to its end.  */
+TEST_F (Runs, ABookingWhoseCallerLeavesAmidItsAnswerGivesItsSlotBack)
+{
+  run_t *run = start (call ("id-1", false));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  std::string fields = "X-Attempt-Id: id-1\r\nX-Server-Signature: s\r\n";
+  std::string part (100000, 'x');
+  http_begin (backend->open[0], 200, fields.data (), fields.size (),
+              2 * part.size ());
+  http_piece (backend->open[0], part.data (), part.size ());
+  ASSERT_TRUE (wait ([&] { return http_unread (backend->open[0]) == 0; }));
+  run_pause (run, true);
+  run_cancel (run);
+  http_piece (backend->open[0], part.data (), part.size ());
+  http_end (backend->open[0]);
+  EXPECT_TRUE (wait ([&] { return runner_load (b->runner).running == 0; }));
+}
+
+/* A sidecar that reads late finds calls and their cancellations together.  */
+TEST_F (Runs, CallsThatAreCancelledBehindALongBacklogReachNoServer)
+{
+  run_one ();
+  peer_t *peer = peer_set_find (a->peers, peer_set_vm (b->peers));
+  std::string body (1000, 'x');
+  std::vector<peer_call_t *> sent;
+  for (int i = 0; i < 200; i++)
+    {
+      forward_call_t made = call ("id-1", true);
+      made.body = body.data ();
+      made.body_size = body.size ();
+      sent.push_back (peer_call (peer, &made, &sink));
+      ASSERT_NE (nullptr, sent.back ());
+    }
+  for (peer_call_t *at : sent)
+    peer_call_cancel (at);
+  forward_call_t next = call ("id-2", true);
+  ASSERT_NE (nullptr, peer_call (peer, &next, &sink));
+  ASSERT_TRUE (wait ([&] {
+    return !backend->open.empty () && id_of (backend->open.back ()) == "id-2";
+  }));
+  EXPECT_EQ (1u, backend->targets.size ());
+}
+
+/* A question takes a run over from the link that it came on first; the end of
+   that link is read later and changes nothing.  */
+TEST_F (Runs, TheEndOfAnOldLinkDoesNotTakeARunFromItsNewListener)
+{
+  start (call ("id-1", false));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  forward_call_t question = call ("id-1", false);
+  question.resume = true;
+  int heard = 0;
+  call_sink_t second = sink;
+  second.ctx = &heard;
+  run_t *asked = nullptr;
+  ASSERT_EQ (START_TAKEN,
+             runner_start (b->runner, &question, &second, &asked, &failure));
+  EXPECT_EQ (1, ended) << "the first listener is told and lets go";
+  answer_signed (backend->open[0], "id-1", "booked");
+  ASSERT_TRUE (wait ([&] { return runner_load (b->runner).running == 0; }));
+  EXPECT_EQ (1, heard);
+}
+
+/* Two requests with one id: the first must not keep a run that it no longer
+   hears of.  */
+TEST_F (Two, TwoRequestsWithOneIdEndEachOnItsOwn)
+{
+  start_a_beside_the_server ();
+  Caller first (http_server_port (a->callers));
+  Caller second (http_server_port (a->callers));
+  first.send (request ("POST", "/book/1", "id-1"));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  second.send (request ("POST", "/book/1", "id-1"));
+  ASSERT_TRUE (wait ([&] { return first.has ("\r\n\r\n"); }));
+  EXPECT_EQ (0u, first.got.find ("HTTP/1.1 502")) << first.got;
+  answer_signed (backend->open[0], "id-1", "booked");
+  ASSERT_TRUE (wait ([&] { return second.has ("booked"); }));
+  EXPECT_EQ (1u, backend->targets.size ());
+}
+}
--- a/tests/mesh_store_test.cc
+++ b/tests/mesh_store_test.cc
@@ -1,33 +1,20 @@
 /* The client of the platform's store and the membership over it, against a
    stand-in of the store, all on one event loop.  */
 
-#include <gtest/gtest.h>
+#include "support_edge.h"
 
 extern "C"
 {
-#include "clock.h"
 #include "edge/members.h"
-#include "edge/operator_feed.h"
 #include "edge/store.h"
-#include "platform.h"
 #include "support_store.h"
 }
 
-#include <arpa/inet.h>
-#include <fcntl.h>
-#include <unistd.h>
-
-#include <functional>
-#include <memory>
 #include <set>
-#include <string>
-#include <vector>
 
 namespace
 {
 
-const int64_t GIVE_UP_US = 20 * US_PER_S;
-
 struct Member
 {
   store_t *store;
@@ -55,23 +42,16 @@
   }
 };
 
-class Store : public testing::Test
+class Store : public Loop
 {
 protected:
-  loop_t loop = {};
-  rng_t rng = rng_seeded (1);
-  event_log_t log = {};
-  int null_fd = -1;
   fake_store_t *fake = nullptr;
   std::vector<std::unique_ptr<Member>> members;
 
   void
   SetUp () override
   {
-    error_info_t error = {};
-    ASSERT_TRUE (loop_open (&loop, clock_system (), &error));
-    null_fd = open ("/dev/null", O_WRONLY);
-    event_log_open (&log, &loop, null_fd, "n1");
+    Loop::SetUp ();
     fake = fake_store_new (&loop);
   }
   void
@@ -79,10 +59,7 @@
   {
     members.clear ();
     fake_store_free (fake);
-    event_log_close (&log);
-    loop_close (&loop);
-    close (null_fd);
-    rng_seeded_free (&rng);
+    Loop::TearDown ();
   }
   void
   join (int count)
@@ -99,21 +76,6 @@
         return false;
     return true;
   }
-  bool
-  wait (const std::function<bool ()> &done, int64_t most_us = GIVE_UP_US)
-  {
-    int64_t end_us = clock_now_us (clock_system ()) + most_us;
-    while (!done () && clock_now_us (clock_system ()) < end_us)
-      {
-        ev_timer wake;
-        ev_timer_init (
-            &wake, [] (struct ev_loop *, ev_timer *, int) {}, 0.005, 0);
-        ev_timer_start (loop.ev, &wake);
-        ev_run (loop.ev, EVRUN_ONCE);
-        ev_timer_stop (loop.ev, &wake);
-      }
-    return done ();
-  }
 };
 
 /* A start of the whole fleet: each writes once, and nobody is woken by each
