Test that an old link's end does not touch a run that is freed

Change: a test of the way in which the code before could die. Before, in a clone of its parent under AddressSanitizer: heap-use-after-free in run_detach, freed by run_fail; now: mesh_leaving_test 14 passed.

--- a/tests/mesh_leaving_test.cc
+++ b/tests/mesh_leaving_test.cc
@@ -191,6 +191,31 @@
   EXPECT_EQ (1, heard);
 }
 
+/* The same when the run has been refused, and so freed, meanwhile.  */
+TEST_F (Runs, TheEndOfAnOldLinkDoesNotTouchARunThatIsFreed)
+{
+  intake_server_t server = { 1, true, false, false, 0, 0 };
+  runner_set_server (b->runner, &server, "i");
+  start (call ("id-1", true));
+  forward_call_t booking = call ("id-2", false);
+  ASSERT_NE (nullptr,
+             peer_call (peer_set_find (a->peers, peer_set_vm (b->peers)),
+                        &booking, &sink));
+  ASSERT_TRUE (wait ([&] { return runner_load (b->runner).queued == 1; }));
+  int heard = 0;
+  call_sink_t second = sink;
+  second.ctx = &heard;
+  run_t *asked = nullptr;
+  booking.resume = true;
+  ASSERT_EQ (START_TAKEN,
+             runner_start (b->runner, &booking, &second, &asked, &failure));
+  server.leaving = true;
+  runner_set_server (b->runner, &server, "i");
+  EXPECT_EQ (1, heard) << "refused";
+  a.reset ();
+  EXPECT_TRUE (wait ([&] { return peer_set_state (b->peers).up == 0; }));
+}
+
 /* Two requests with one id: the first must not keep a run that it no longer
    hears of.  */
 TEST_F (Two, TwoRequestsWithOneIdEndEachOnItsOwn)
