Count and log connections that end with requests unanswered

Logs and metrics could not tell why a connection had ended, how long it had been quiet, by which idle limit it was judged, or whether a request came after that and was thrown away.

The server of callers now notes the reason of each end, counts what it still owed and what it threw away, whole requests apart, and tells the sidecar, which writes one line connection-cut with the version of the configuration. No change of what a caller sees.

--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -37,10 +37,12 @@
   int64_t paused_us;  /* since when a close goes unnoticed, or 0 */
   uint32_t peer_ip;
   int error_status; /* of a malformed request, or 0 */
+  http_end_report_t report;
   bool paused;
-  bool last_read; /* no request is read after this one */
-  bool closing;   /* close when all is written */
-  bool lingering; /* write side is shut, reading until the caller closes */
+  bool last_read;    /* no request is read after this one */
+  bool closing;      /* close when all is written */
+  bool lingering;    /* write side is shut, reading until the caller closes */
+  bool late_garbled; /* what came after that is no request */
   bool dead;
 } http_connection_t;
 
@@ -57,9 +59,23 @@
   bool draining;
   uint16_t port;
   http_server_state_t state;
+  http_end_watch_t end_watch; /* may be NULL */
+  void *end_ctx;
   char block[READ_BYTES];
 };
 
+static const char *const end_names[HTTP_END_COUNT] = {
+  [HTTP_END_CALLER] = "caller", [HTTP_END_ANSWERED] = "answered",
+  [HTTP_END_IDLE] = "idle",     [HTTP_END_DRAINED] = "drained",
+  [HTTP_END_BROKEN] = "broken", [HTTP_END_FREED] = "freed",
+};
+
+const char *
+http_end_name (http_end_t end)
+{
+  return end_names[end];
+}
+
 /* --- exchanges --------------------------------------------------------- */
 
 static http_exchange_t *
@@ -116,7 +132,9 @@
     {
       http_exchange_t *exchange = connection->first;
       connection->first = exchange->next;
-      if (exchange->handed && exchange->answer != HTTP_ANSWER_ENDED)
+      bool answered = exchange->answer == HTTP_ANSWER_ENDED;
+      connection->report.unanswered += !answered;
+      if (exchange->handed && !answered)
         tell_gone (exchange);
       exchange_free (exchange);
     }
@@ -129,19 +147,47 @@
 
 /* --- connections ------------------------------------------------------- */
 
+/* Counts how the connection ended.  */
 static void
-connection_close (http_connection_t *connection)
+report_end (http_connection_t *connection)
+{
+  http_server_t *server = connection->server;
+  http_server_state_t *state = &server->state;
+  http_end_report_t *report = &connection->report;
+  state->ends[report->end]++;
+  state->unanswered[report->end] += report->unanswered;
+  bool ours = report->end != HTTP_END_CALLER;
+  if (ours && (report->unanswered > 0 || report->late_bytes > 0)
+      && server->end_watch != NULL)
+    server->end_watch (server->end_ctx, report);
+}
+
+static void
+note_end (http_connection_t *connection, http_end_t end)
+{
+  http_server_t *server = connection->server;
+  connection->report.end = end;
+  connection->report.quiet_us = server->loop->now_us - connection->since_us;
+  connection->report.idle_limit_us = server->limits.idle_timeout_us;
+}
+
+/* END counts unless it was decided earlier why the connection ends.  */
+static void
+connection_close (http_connection_t *connection, http_end_t end)
 {
   http_server_t *server = connection->server;
   if (connection->dead)
     return;
   connection->dead = true;
+  if (!connection->lingering)
+    note_end (connection, end);
   ev_io_stop (server->loop->ev, &connection->reader);
   ev_io_stop (server->loop->ev, &connection->writer);
   loop_drop (server->loop, &connection->flush);
   loop_drop (server->loop, &connection->resume);
   close (connection->reader.fd);
   exchanges_drop (connection);
+  report_end (connection);
   if (connection->prev != NULL)
     connection->prev->next = connection->next;
   else
@@ -171,11 +217,13 @@
 
 /* Unread bytes at close would reset the connection under the last answer. */
 static void
-connection_linger (http_connection_t *connection)
+connection_linger (http_connection_t *connection, http_end_t end)
 {
   if (connection->lingering)
     return;
+  note_end (connection, end);
   connection->lingering = true;
+  http_parser_init (&connection->parser, HTTP_REQUEST);
   connection->since_us = connection->server->loop->now_us;
   shutdown (connection->reader.fd, SHUT_WR);
   exchanges_drop (connection);
@@ -212,7 +260,7 @@
         }
       if (sent < 0)
         {
-          connection_close (connection);
+          connection_close (connection, HTTP_END_CALLER);
           return;
         }
       bytes_consume (&connection->out, (size_t)sent);
@@ -220,7 +268,7 @@
     }
   ev_io_stop (ev, &connection->writer);
   if (connection->closing && connection->first == NULL)
-    connection_linger (connection);
+    connection_linger (connection, HTTP_END_ANSWERED);
   else
     notify_drained (connection);
 }
@@ -347,7 +395,7 @@
 {
   exchange->answer = HTTP_ANSWER_ENDED;
   exchange->connection->server->state.exchanges--;
-  connection_close (exchange->connection);
+  connection_close (exchange->connection, HTTP_END_BROKEN);
 }
 
 void
@@ -586,7 +634,7 @@
   if (!loop_peer_has_closed (connection->reader.fd))
     return false;
   connection->server->state.abandoned++;
-  connection_close (connection);
+  connection_close (connection, HTTP_END_CALLER);
   return true;
 }
 
@@ -612,6 +660,30 @@
   bytes_free (&rest);
 }
 
+static int
+on_late_request (http_parser *parser)
+{
+  http_connection_t *connection = parser->data;
+  connection->report.late_requests++;
+  connection->server->state.late_requests++;
+  return 0;
+}
+
+/* Bytes that came after the end was decided.  */
+static void
+count_late (http_connection_t *connection, size_t size)
+{
+  static const http_parser_settings settings
+      = { .on_message_complete = on_late_request };
+  http_server_t *server = connection->server;
+  connection->report.late_bytes += (uint32_t)size;
+  server->state.late_bytes += size;
+  if (connection->late_garbled)
+    return;
+  http_parser_execute (&connection->parser, &settings, server->block, size);
+  connection->late_garbled = HTTP_PARSER_ERRNO (&connection->parser) != HPE_OK;
+}
+
 static void
 on_readable (struct ev_loop *ev, ev_io *reader, int events)
 {
@@ -625,9 +697,11 @@
     return;
   if (size <= 0)
     {
-      connection_close (connection);
+      connection_close (connection, HTTP_END_CALLER);
       return;
     }
+  if (connection->lingering)
+    count_late (connection, (size_t)size);
   if (connection->lingering || connection->last_read)
     return;
   /* The close may be behind the request that was just read.  */
@@ -705,7 +779,7 @@
   if (connection->lingering)
     {
       if (quiet_us > LINGER_US)
-        connection_close (connection);
+        connection_close (connection, connection->report.end);
     }
   else if (connection->paused)
     check_paused (connection);
@@ -718,7 +792,7 @@
         refuse_malformed (connection, 408);
     }
   else if (connection->first == NULL && quiet_us > limits->idle_timeout_us)
-    connection_linger (connection);
+    connection_linger (connection, HTTP_END_IDLE);
 }
 
 static void
@@ -780,7 +854,7 @@
   http_server_stop_listening (server);
   ev_timer_stop (server->loop->ev, &server->sweep);
   while (server->connections != NULL)
-    connection_close (server->connections);
+    connection_close (server->connections, HTTP_END_FREED);
   loop_drop (server->loop, &server->bury);
   bury_dead (server);
   free (server);
@@ -802,10 +876,18 @@
       next = at->next;
       if (at->first == NULL && at->reading == NULL
           && bytes_size (&at->out) == 0)
-        connection_linger (at);
+        connection_linger (at, HTTP_END_DRAINED);
     }
 }
 
+void
+http_server_watch_ends (http_server_t *server, http_end_watch_t watch,
+                        void *ctx)
+{
+  server->end_watch = watch;
+  server->end_ctx = ctx;
+}
+
 uint16_t
 http_server_port (const http_server_t *server)
 {
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -96,6 +96,39 @@
   HTTP_UNSEEN_SLOTS = 14 /* powers of two of milliseconds */
 };
 
+/* Why a connection ended.  */
+typedef enum http_end_t
+{
+  HTTP_END_CALLER,   /* its caller closed or reset it */
+  HTTP_END_ANSWERED, /* behind the last answer */
+  HTTP_END_IDLE,     /* no request for the idle limit */
+  HTTP_END_DRAINED,  /* idle when the server began to drain */
+  HTTP_END_BROKEN,   /* an answer was broken off */
+  HTTP_END_FREED,    /* the server was freed */
+  HTTP_END_COUNT
+} http_end_t;
+
+const char *http_end_name (http_end_t end);
+
+/* How a connection ended.  */
+typedef struct http_end_report_t
+{
+  http_end_t end;
+  int64_t quiet_us;       /* without progress before that was decided */
+  int64_t idle_limit_us;  /* that it was judged by */
+  uint32_t unanswered;    /* whole requests that got no whole answer */
+  uint32_t late_bytes;    /* read after it was decided, and thrown away */
+  uint32_t late_requests; /* that were whole among them */
+} http_end_report_t;
+
+/* Hears of each connection that this side ends and that leaves a request
+   unanswered or has thrown bytes away.  */
+typedef void (*http_end_watch_t) (void *ctx, const http_end_report_t *report);
+
+/* CTX is borrowed.  */
+void http_server_watch_ends (http_server_t *server, http_end_watch_t watch,
+                             void *ctx);
+
 typedef struct http_server_state_t
 {
   uint32_t connections;
@@ -107,6 +140,10 @@
   /* Requests whose callers left, by how long that may have gone unnoticed.  */
   uint64_t gone[HTTP_UNSEEN_SLOTS];
   int64_t unseen_most_us;
+  uint64_t ends[HTTP_END_COUNT];       /* connections */
+  uint64_t unanswered[HTTP_END_COUNT]; /* their requests */
+  uint64_t late_bytes;
+  uint64_t late_requests;
 } http_server_state_t;
 
 http_server_state_t http_server_state (const http_server_t *server);
--- a/src/edge/metrics.c
+++ b/src/edge/metrics.c
@@ -79,6 +79,16 @@
   put (to, "caller_reads_paused_total", callers->paused);
   put_powers (to, "caller_gone_unseen_ms", 1, callers->gone,
               HTTP_UNSEEN_SLOTS);
+  for (int i = 0; i < HTTP_END_COUNT; i++)
+    {
+      const char *end = http_end_name ((http_end_t)i);
+      put_labelled (to, "caller_connections_ended_total", "end", end,
+                    callers->ends[i]);
+      put_labelled (to, "caller_requests_unanswered_total", "end", end,
+                    callers->unanswered[i]);
+    }
+  put (to, "caller_late_bytes_total", callers->late_bytes);
+  put (to, "caller_late_requests_total", callers->late_requests);
 }
 
 static void
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -142,6 +142,22 @@
   sidecar_beliefs_changed (sidecar);
 }
 
+/* --- callers ------------------------------------------------------------- */
+
+static void
+on_connection_cut (void *ctx, const http_end_report_t *report)
+{
+  sidecar_t *sidecar = ctx;
+  event_log (&sidecar->log, EVENT_REQUEST, "connection-cut",
+             "end=%s unanswered=%u late-requests=%u late-bytes=%u "
+             "quiet-ms=%lld idle-limit-ms=%lld config=%llu",
+             http_end_name (report->end), report->unanswered,
+             report->late_requests, report->late_bytes,
+             (long long)(report->quiet_us / US_PER_MS),
+             (long long)(report->idle_limit_us / US_PER_MS),
+             (unsigned long long)operator_feed_version (sidecar->operators));
+}
+
 /* --- readiness and metrics --------------------------------------------- */
 
 static bool
@@ -434,6 +450,8 @@
       = http_server_new (loop, settings->ready, &small_limits, &ready, error);
   sidecar->metrics = http_server_new (loop, settings->metrics, &small_limits,
                                       &metrics, error);
+  if (sidecar->callers != NULL)
+    http_server_watch_ends (sidecar->callers, on_connection_cut, sidecar);
   return sidecar->callers != NULL && sidecar->announce != NULL
          && sidecar->ready != NULL && sidecar->metrics != NULL;
 }
