--- /dev/null
+++ b/tests/mesh_unanswered_test.cc
@@ -0,0 +1,276 @@
+/* Requests that are read whole get an answer or a refusal, whatever ends
+   their connection.  */
+
+#include "support_edge.h"
+
+#include <cerrno>
+#include <thread>
+
+namespace
+{
+const int64_t IDLE_US = 300 * US_PER_MS;
+
+http_limits_t
+short_idle ()
+{
+  http_limits_t made = limits ();
+  made.idle_timeout_us = IDLE_US;
+  return made;
+}
+
+std::string
+get (const std::string &path)
+{
+  return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n";
+}
+
+/* Time passes, and the loop gets no turn.  */
+void
+hold_the_loop (int64_t us)
+{
+  std::this_thread::sleep_for (std::chrono::microseconds (us));
+}
+
+/* A server that answers at once, and a kept connection that has been used.  */
+class Kept : public Loop
+{
+protected:
+  std::unique_ptr<Server> server;
+  std::unique_ptr<Caller> caller;
+
+  void
+  start (const http_limits_t &limits)
+  {
+    server = std::make_unique<Server> (&loop, limits);
+    server->answer = [] (http_exchange_t *exchange) {
+      http_respond (exchange, 200, nullptr, 0, "ok", 2);
+    };
+    caller = std::make_unique<Caller> (server->port ());
+    ask ("/first");
+    ASSERT_TRUE (wait ([&] { return caller->has ("ok"); }));
+    caller->got.clear ();
+  }
+  void
+  TearDown () override
+  {
+    caller.reset ();
+    server.reset ();
+    Loop::TearDown ();
+  }
+  void
+  ask (const std::string &path)
+  {
+    std::string text = get (path);
+    ::send (caller->fd, text.data (), text.size (), MSG_NOSIGNAL);
+  }
+  /* By a reset a caller sees that its request was not read.  */
+  bool
+  is_answered_or_reset ()
+  {
+    caller->has ("");
+    return caller->has ("ok") || caller->reset;
+  }
+  uint64_t
+  thrown_away ()
+  {
+    return http_server_state (server->server).late_requests;
+  }
+  /* The loop turns until the server has swept a few times.  */
+  void
+  let_it_sweep (int64_t us)
+  {
+    int64_t until_us = loop.now_us + us;
+    ASSERT_TRUE (wait ([&] { return loop.now_us > until_us; }));
+  }
+};
+
+/* --- requests that cross the end of their connection ------------------- */
+
+struct CrossingRow
+{
+  const char *name;
+  bool drain; /* the connection ends by a drain, else at its idle limit */
+  bool first; /* the request arrives before that is decided, else after */
+};
+
+class Crossing : public Kept, public testing::WithParamInterface<CrossingRow>
+{
+};
+
+TEST_P (Crossing, ARequestIsAnsweredOrLeftUnread)
+{
+  const CrossingRow &row = GetParam ();
+  start (row.drain ? limits () : short_idle ());
+  if (row.first)
+    {
+      hold_the_loop (row.drain ? 0 : 2 * IDLE_US);
+      ask ("/second");
+    }
+  if (row.drain)
+    http_server_drain (server->server);
+  if (!row.first)
+    {
+      ASSERT_TRUE (wait ([&] { return caller->is_over (); }));
+      caller->ended = false;
+      ask ("/second");
+    }
+  EXPECT_TRUE (
+      wait ([&] { return is_answered_or_reset () || thrown_away () > 0; }));
+  EXPECT_EQ (0u, thrown_away ());
+  EXPECT_EQ (row.first, caller->has ("ok"));
+}
+
+const CrossingRow crossing_rows[] = {
+  { "InTheKernelAtTheIdleLimit", false, true },
+  { "BehindTheIdleLimit", false, false },
+  { "InTheKernelAtADrain", true, true },
+  { "BehindADrain", true, false },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, Crossing, testing::ValuesIn (crossing_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+
+/* --- limits that change ------------------------------------------------ */
+
+/* Callers go by the limit that they knew when they used a connection.  */
+TEST_F (Kept, ALowerIdleLimitDoesNotEndConnectionsUsedUnderTheHigherOne)
+{
+  start (limits ());
+  http_limits_t lower = short_idle ();
+  http_server_set_limits (server->server, &lower);
+  let_it_sweep (3 * IDLE_US);
+  ask ("/second");
+  EXPECT_TRUE (
+      wait ([&] { return is_answered_or_reset () || thrown_away () > 0; }));
+  EXPECT_TRUE (caller->has ("ok"));
+}
+
+TEST_F (Kept, AHigherIdleLimitHoldsForConnectionsUsedUnderTheLowerOne)
+{
+  start (short_idle ());
+  http_limits_t higher = limits ();
+  http_server_set_limits (server->server, &higher);
+  let_it_sweep (3 * IDLE_US);
+  ask ("/second");
+  EXPECT_TRUE (
+      wait ([&] { return is_answered_or_reset () || thrown_away () > 0; }));
+  EXPECT_TRUE (caller->has ("ok"));
+}
+
+struct HalfReadRow
+{
+  const char *name;
+  std::string first; /* of one request */
+  std::string rest;
+  void (*lower) (http_limits_t *limits);
+};
+
+class HalfRead : public Kept, public testing::WithParamInterface<HalfReadRow>
+{
+};
+
+/* A request is held to the limits under which it began.  */
+TEST_P (HalfRead, ARequestEndsUnderTheLimitsItBeganUnder)
+{
+  const HalfReadRow &row = GetParam ();
+  http_limits_t made = limits ();
+  made.header_timeout_us = made.body_timeout_us = 10 * US_PER_S;
+  start (made);
+  caller->send (row.first);
+  let_it_sweep (IDLE_US);
+  row.lower (&made);
+  http_server_set_limits (server->server, &made);
+  let_it_sweep (2 * IDLE_US);
+  caller->send (row.rest);
+  EXPECT_TRUE (wait ([&] { return caller->has ("\r\n\r\n"); }));
+  EXPECT_EQ (0u, caller->got.find ("HTTP/1.1 200")) << caller->got;
+}
+
+const char POST_HEAD[]
+    = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+const HalfReadRow half_read_rows[] = {
+  { "HeadSize", "GET /a HTTP/1.1\r\nHost: h\r\nX: " + std::string (500, 'x'),
+    "\r\n\r\n", [] (http_limits_t *limits) { limits->header_bytes = 100; } },
+  { "BodySize",
+    POST_HEAD + std::string ("190\r\n") + std::string (400, 'x') + "\r\n",
+    "0\r\n\r\n", [] (http_limits_t *limits) { limits->body_bytes = 100; } },
+  { "MoreBody",
+    POST_HEAD + std::string ("190\r\n") + std::string (400, 'x') + "\r\n",
+    "1\r\ny\r\n0\r\n\r\n",
+    [] (http_limits_t *limits) { limits->body_bytes = 100; } },
+  { "MoreHead", "GET /a HTTP/1.1\r\nHost: h\r\nX: " + std::string (500, 'x'),
+    "y\r\n\r\n", [] (http_limits_t *limits) { limits->header_bytes = 100; } },
+  { "HeadTime", "GET /a HTTP/1.1\r\nHost: h\r\n", "\r\n",
+    [] (http_limits_t *limits) {
+      limits->header_timeout_us = 50 * US_PER_MS;
+    } },
+  { "BodyTime", POST_HEAD, "0\r\n\r\n",
+    [] (http_limits_t *limits) { limits->body_timeout_us = 50 * US_PER_MS; } },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, HalfRead, testing::ValuesIn (half_read_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+
+/* --- a loop that comes late -------------------------------------------- */
+
+struct LateRow
+{
+  const char *name;
+  std::string first;
+  std::string rest;
+};
+
+class LateLoop : public Kept, public testing::WithParamInterface<LateRow>
+{
+};
+
+TEST_P (LateLoop, ARequestThatHasArrivedIsNotOverdue)
+{
+  start (limits ());
+  caller->send (GetParam ().first);
+  let_it_sweep (50 * US_PER_MS);
+  caller->send (GetParam ().rest);
+  hold_the_loop (2 * limits ().header_timeout_us);
+  EXPECT_TRUE (wait ([&] { return caller->has ("\r\n\r\n"); }));
+  EXPECT_EQ (0u, caller->got.find ("HTTP/1.1 200")) << caller->got;
+}
+
+const LateRow late_rows[] = {
+  { "Head", "GET /a HTTP/1.1\r\nHost: h\r\n", "\r\n" },
+  { "Body", POST_HEAD, "0\r\n\r\n" },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, LateLoop, testing::ValuesIn (late_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+
+/* --- answers that end with their connection ----------------------------- */
+
+/* Nothing can be answered behind one, so nothing behind it is taken.  */
+TEST_F (Loop, NothingIsTakenBehindARequestWhoseAnswerMayEndWithItsConnection)
+{
+  Server server (&loop, limits ());
+  Caller caller (server.port ());
+  std::string one
+      = "GET /1 HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n";
+  caller.send (one + one);
+  ASSERT_TRUE (wait ([&] { return !server.open.empty (); }));
+  EXPECT_EQ (1u, server.open.size ());
+  while (!server.open.empty ())
+    {
+      http_exchange_t *exchange = server.open[0];
+      server.open.erase (server.open.begin ());
+      http_begin (exchange, 200, nullptr, 0, -1);
+      http_piece (exchange, "ok", 2);
+      http_end (exchange);
+    }
+  ASSERT_TRUE (wait ([&] { return caller.is_over (); }));
+  EXPECT_EQ (caller.got.find ("HTTP/1.1"), caller.got.rfind ("HTTP/1.1"));
+}
+}
--- a/tests/support_edge.h
+++ b/tests/support_edge.h
@@ -108,6 +108,7 @@
   int fd;
   std::string got;
   bool ended = false;
+  bool reset = false;
 
   explicit Caller (uint16_t port)
   {
@@ -144,6 +145,13 @@
           }
         got.append (block, size);
       }
+    int error = 0;
+    socklen_t error_size = sizeof error;
+    if (fd >= 0
+        && ((!ended && errno == ECONNRESET)
+            || (getsockopt (fd, SOL_SOCKET, SO_ERROR, &error, &error_size) == 0
+                && error != 0)))
+      reset = true;
     return got.find (text) != std::string::npos;
   }
   bool
