Look at the socket before an idle connection is ended, and end it at once

An idle connection was ended by shutting its sending side; for a second after that everything that came was read and thrown away. A request that crossed the close was read whole, nobody had the duty to answer it, and its connection ended up to a second later. This happened at the idle limit and, for all idle connections at once, at a planned stop.

Evidence: the rows of Crossing and LateLoop failed with late_requests=1 or a 408; ADrainGoesOnWhenARequestThatItReadsEndsAnotherConnection and AConnectionIsNotIdleWhileItsCallerHasNotGotTheLastAnswer were run against the code before and failed. The last one also shows that a caller that pauses in an answer for the idle limit lost the rest of it.

Change: what has arrived is read first and served like any other request. Only a connection on which nothing waits, and whose caller has got all of the last answer, is closed, both ways at once: what comes later is reset by the kernel, so its caller knows that nobody has read it. Lingering stays for what is behind the last answer, which callers know to be unread. Ruled out: a refusal for requests behind the shutdown; nothing can be sent there.

--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -13,8 +13,9 @@
   READ_BYTES = 64 * 1024,       /* taken from a socket in one call */
   SWEEP_US = 200 * US_PER_MS,   /* precision of the connections' time-outs */
   LINGER_US = 1000 * US_PER_MS, /* for a caller to take its last answer */
-  SILENCE_MS = 5000,            /* for a caller's machine to acknowledge */
-  ACCEPTS_A_TURN = 64           /* so that other work gets its turn */
+  DRAIN_IDLE_US = 100 * US_PER_MS, /* for a new connection's request */
+  SILENCE_MS = 5000,               /* for a caller's machine to acknowledge */
+  ACCEPTS_A_TURN = 64              /* so that other work gets its turn */
 };
 
 typedef struct http_connection_t
@@ -217,11 +218,11 @@
 
 /* Unread bytes at close would reset the connection under the last answer. */
 static void
-connection_linger (http_connection_t *connection, http_end_t end)
+connection_linger (http_connection_t *connection)
 {
   if (connection->lingering)
     return;
-  note_end (connection, end);
+  note_end (connection, HTTP_END_ANSWERED);
   connection->lingering = true;
   http_parser_init (&connection->parser, HTTP_REQUEST);
   connection->since_us = connection->server->loop->now_us;
@@ -268,7 +269,7 @@
     }
   ev_io_stop (ev, &connection->writer);
   if (connection->closing && connection->first == NULL)
-    connection_linger (connection, HTTP_END_ANSWERED);
+    connection_linger (connection);
   else
     notify_drained (connection);
 }
@@ -685,14 +686,10 @@
 }
 
 static void
-on_readable (struct ev_loop *ev, ev_io *reader, int events)
+read_block (http_connection_t *connection)
 {
-  http_connection_t *connection = reader->data;
   http_server_t *server = connection->server;
-  (void)ev;
-  (void)events;
-
-  ssize_t size = recv (reader->fd, server->block, READ_BYTES, 0);
+  ssize_t size = recv (connection->reader.fd, server->block, READ_BYTES, 0);
   if (size < 0 && (errno == EAGAIN || errno == EINTR))
     return;
   if (size <= 0)
@@ -711,6 +708,120 @@
   parse (connection, server->block, (size_t)size);
 }
 
+static void
+on_readable (struct ev_loop *ev, ev_io *reader, int events)
+{
+  (void)ev;
+  (void)events;
+  read_block (reader->data);
+}
+
+/* --- time-outs --------------------------------------------------------- */
+
+/* A close shows in no other way while nothing is read.  */
+static void
+check_paused (http_connection_t *connection)
+{
+  if (!close_abandoned (connection))
+    connection->paused_us = connection->server->loop->now_us;
+}
+
+static int64_t
+quiet_us (const http_connection_t *connection)
+{
+  return connection->server->loop->now_us - connection->since_us;
+}
+
+static bool
+is_idle (const http_connection_t *connection)
+{
+  return !connection->lingering && !connection->paused
+         && connection->first == NULL && connection->reading == NULL
+         && bytes_size (&connection->out) == 0;
+}
+
+/* Ends a connection on which nothing waits.  What has arrived is taken first;
+   what comes later is reset by the kernel, so that its caller knows that
+   nobody has read it.  That reset would take the rest of an answer with it, so
+   the caller must have got all of the last one.  */
+static void
+end_idle (http_connection_t *connection, http_end_t end)
+{
+  read_block (connection);
+  if (!connection->dead && is_idle (connection)
+      && loop_unsent (connection->reader.fd) == 0)
+    connection_close (connection, end);
+}
+
+static bool
+is_overdue (const http_connection_t *connection)
+{
+  const http_limits_t *limits = &connection->server->limits;
+  const http_exchange_t *reading = connection->reading;
+  if (reading == NULL)
+    return false;
+  if (reading->method != NULL)
+    return quiet_us (connection) > limits->body_timeout_us;
+  return connection->server->loop->now_us - reading->begun_us
+         > limits->header_timeout_us;
+}
+
+/* The loop may come late: what has arrived meanwhile is in time.  */
+static void
+end_overdue (http_connection_t *connection)
+{
+  read_block (connection);
+  if (!connection->dead && is_overdue (connection))
+    refuse_malformed (connection, 408);
+}
+
+static int64_t
+idle_limit_us (const http_connection_t *connection)
+{
+  const http_server_t *server = connection->server;
+  return server->draining ? DRAIN_IDLE_US : server->limits.idle_timeout_us;
+}
+
+/* Ends a connection that has made no progress for too long.  */
+static void
+sweep_one (http_connection_t *connection)
+{
+  if (connection->lingering)
+    {
+      if (quiet_us (connection) > LINGER_US)
+        connection_close (connection, connection->report.end);
+    }
+  else if (connection->paused)
+    check_paused (connection);
+  else if (is_overdue (connection))
+    end_overdue (connection);
+  else if (is_idle (connection)
+           && quiet_us (connection) > idle_limit_us (connection))
+    end_idle (connection,
+              connection->server->draining ? HTTP_END_DRAINED : HTTP_END_IDLE);
+}
+
+/* Visits all connections.  A visit may end any of them.  */
+static void
+each_connection (http_server_t *server, void (*visit) (http_connection_t *))
+{
+  http_connection_t *at = server->connections;
+  while (at != NULL)
+    {
+      http_connection_t *next = at->next;
+      visit (at);
+      at = next != NULL && next->dead ? server->connections : next;
+    }
+}
+
+static void
+on_sweep (struct ev_loop *ev, ev_timer *timer, int events)
+{
+  (void)ev;
+  (void)events;
+  each_connection (timer->data, sweep_one);
+}
+
 /* --- the listener ------------------------------------------------------ */
 
 static void
@@ -760,55 +871,6 @@
     }
 }
 
-/* A close shows in no other way while nothing is read.  */
-static void
-check_paused (http_connection_t *connection)
-{
-  if (!close_abandoned (connection))
-    connection->paused_us = connection->server->loop->now_us;
-}
-
-/* Ends a connection that has made no progress for too long.  */
-static void
-sweep_one (http_connection_t *connection)
-{
-  const http_limits_t *limits = &connection->server->limits;
-  int64_t quiet_us = connection->server->loop->now_us - connection->since_us;
-  http_exchange_t *reading = connection->reading;
-
-  if (connection->lingering)
-    {
-      if (quiet_us > LINGER_US)
-        connection_close (connection, connection->report.end);
-    }
-  else if (connection->paused)
-    check_paused (connection);
-  else if (reading != NULL)
-    {
-      bool in_head = reading->method == NULL;
-      int64_t age_us = connection->server->loop->now_us - reading->begun_us;
-      if (in_head ? age_us > limits->header_timeout_us
-                  : quiet_us > limits->body_timeout_us)
-        refuse_malformed (connection, 408);
-    }
-  else if (connection->first == NULL && quiet_us > limits->idle_timeout_us)
-    connection_linger (connection, HTTP_END_IDLE);
-}
-
-static void
-on_sweep (struct ev_loop *ev, ev_timer *timer, int events)
-{
-  http_server_t *server = timer->data;
-  (void)ev;
-  (void)events;
-  http_connection_t *next;
-  for (http_connection_t *at = server->connections; at != NULL; at = next)
-    {
-      next = at->next;
-      sweep_one (at);
-    }
-}
-
 http_server_t *
 http_server_new (loop_t *loop, endpoint_addr_t addr,
                  const http_limits_t *limits, const http_handler_t *handler,
@@ -866,18 +928,18 @@
   server->limits = *limits;
 }
 
+static void
+drain_one (http_connection_t *connection)
+{
+  if (is_idle (connection))
+    end_idle (connection, HTTP_END_DRAINED);
+}
+
 void
 http_server_drain (http_server_t *server)
 {
-  http_connection_t *next;
   server->draining = true;
-  for (http_connection_t *at = server->connections; at != NULL; at = next)
-    {
-      next = at->next;
-      if (at->first == NULL && at->reading == NULL
-          && bytes_size (&at->out) == 0)
-        connection_linger (at, HTTP_END_DRAINED);
-    }
+  each_connection (server, drain_one);
 }
 
 void
--- a/src/edge/loop.c
+++ b/src/edge/loop.c
@@ -1,9 +1,11 @@
 #include "edge/loop.h"
 
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -132,6 +134,15 @@
          && (look.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+size_t
+loop_unsent (int fd)
+{
+  int bytes = 0;
+  if (ioctl (fd, SIOCOUTQ, &bytes) != 0 || bytes < 0)
+    return 0; /* not known here */
+  return (size_t)bytes;
+}
+
 struct sockaddr_in
 loop_sockaddr (endpoint_addr_t addr)
 {
--- a/src/edge/loop.h
+++ b/src/edge/loop.h
@@ -73,6 +73,9 @@
    much of what it sent is unread.  */
 bool loop_peer_has_closed (int fd);
 
+/* Bytes that were sent and that the peer has not acknowledged.  */
+size_t loop_unsent (int fd);
+
 struct sockaddr_in loop_sockaddr (endpoint_addr_t addr);
 
 #endif
--- a/tests/mesh_unanswered_test.cc
+++ b/tests/mesh_unanswered_test.cc
@@ -132,6 +132,52 @@
                             return std::string (row.param.name);
                           });
 
+/* A request that is read at a drain may end other connections.  */
+TEST_F (Loop, ADrainGoesOnWhenARequestThatItReadsEndsAnotherConnection)
+{
+  Server server (&loop, limits ());
+  Caller idle (server.port ());
+  Caller waiting (server.port ());
+  waiting.send (get ("/waiting"));
+  ASSERT_TRUE (wait ([&] {
+    return server.open.size () == 1
+           && http_server_state (server.server).connections == 2;
+  }));
+  Caller asking (server.port ());
+  ASSERT_TRUE (wait (
+      [&] { return http_server_state (server.server).connections == 3; }));
+  server.answer = [&] (http_exchange_t *exchange) {
+    http_abort (server.open[0]);
+    http_respond (exchange, 200, nullptr, 0, "ok", 2);
+  };
+  asking.send (get ("/asking"));
+  http_server_drain (server.server);
+  EXPECT_EQ (1u, http_server_state (server.server).connections);
+  EXPECT_TRUE (wait ([&] { return asking.has ("ok") && idle.is_over (); }));
+}
+
+/* The last answer's bytes may still be under way when its connection ends.  */
+TEST_F (Loop, AConnectionIsNotIdleWhileItsCallerHasNotGotTheLastAnswer)
+{
+  http_limits_t made = short_idle ();
+  made.body_timeout_us = 10 * US_PER_S;
+  Server server (&loop, made);
+  std::string body (8 << 20, 'x');
+  server.answer = [&] (http_exchange_t *exchange) {
+    http_respond (exchange, 200, nullptr, 0, body.data (), body.size ());
+  };
+  Caller caller (server.port ());
+  caller.send (get ("/large"));
+  ASSERT_TRUE (wait ([&] { return server.targets.size () == 1; }));
+  int64_t until_us = loop.now_us + 3 * IDLE_US;
+  ASSERT_TRUE (wait ([&] { return loop.now_us > until_us; }));
+  http_server_drain (server.server);
+  until_us = loop.now_us + IDLE_US;
+  ASSERT_TRUE (wait ([&] { return loop.now_us > until_us; }));
+  caller.send (get ("/next"));
+  EXPECT_TRUE (wait ([&] { return caller.has (body); }));
+}
+
 /* --- limits that change ------------------------------------------------ */
 
 /* Callers go by the limit that they knew when they used a connection.  */
