Hold callers to the limits that they could know

In the same way lower limits of size and time struck requests that were half read: 413, 431 or 408 for what was allowed when it began.

Evidence: ALowerIdleLimitDoesNotEndConnectionsUsedUnderTheHigherOne and five rows of HalfRead failed on the code before; the two of sizes that do not grow and of a raised limit passed.

Change: limits that allow more apply at once, lower ones after five seconds in which callers hear of them. A connection keeps the limits that held when its newest request, or the wait for one, began; a caller is held to these or to the server's, whichever allow more. Ruled out: telling the limit in each answer (Keep-Alive): not every caller heeds it, so the server has to keep its word anyway.

--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -34,8 +34,11 @@
   uint32_t waiting;
   loop_task_t flush;
   loop_task_t resume; /* goes on reading */
-  int64_t since_us;   /* last progress */
-  int64_t paused_us;  /* since when a close goes unnoticed, or 0 */
+  /* When its newest request began, or the wait for one.  A caller is held to
+     these or to the server's, whichever allow more.  */
+  http_limits_t limits;
+  int64_t since_us;  /* last progress */
+  int64_t paused_us; /* since when a close goes unnoticed, or 0 */
   uint32_t peer_ip;
   int error_status; /* of a malformed request, or 0 */
   http_end_report_t report;
@@ -50,7 +53,9 @@
 struct http_server_t
 {
   loop_t *loop;
-  http_limits_t limits;
+  http_limits_t limits;  /* the widest that callers may go by */
+  http_limits_t newest;  /* takes their place when the notice ends */
+  int64_t notice_end_us; /* 0 is "over" */
   http_handler_t handler;
   ev_io acceptor;
   ev_timer sweep;
@@ -169,7 +174,10 @@
   http_server_t *server = connection->server;
   connection->report.end = end;
   connection->report.quiet_us = server->loop->now_us - connection->since_us;
-  connection->report.idle_limit_us = server->limits.idle_timeout_us;
+  connection->report.idle_limit_us
+      = connection->limits.idle_timeout_us > server->limits.idle_timeout_us
+            ? connection->limits.idle_timeout_us
+            : server->limits.idle_timeout_us;
 }
 
 /* END counts unless it was decided earlier why the connection ends.  */
@@ -266,6 +274,8 @@
         }
       bytes_consume (&connection->out, (size_t)sent);
       connection->since_us = connection->server->loop->now_us;
+      if (connection->reading == NULL)
+        connection->limits = connection->server->limits;
     }
   ev_io_stop (ev, &connection->writer);
   if (connection->closing && connection->first == NULL)
@@ -456,6 +466,7 @@
 {
   http_connection_t *connection = parser->data;
   connection->reading = exchange_new (connection);
+  connection->limits = connection->server->limits;
   connection->since_us = connection->server->loop->now_us;
   return 0;
 }
@@ -464,9 +475,11 @@
 head_too_large (const http_connection_t *connection)
 {
   const http_exchange_t *exchange = connection->reading;
-  return bytes_size (&exchange->target) + bytes_size (&exchange->fields.text)
-             + 4UL * exchange->fields.count
-         > connection->server->limits.header_bytes;
+  size_t size = bytes_size (&exchange->target)
+                + bytes_size (&exchange->fields.text)
+                + 4UL * exchange->fields.count;
+  return size > connection->limits.header_bytes
+         && size > connection->server->limits.header_bytes;
 }
 
 static int
@@ -493,6 +506,13 @@
   return head_too_large (connection) ? fail_parse (connection, 431) : 0;
 }
 
+static bool
+body_too_large (const http_connection_t *connection, uint64_t size)
+{
+  return size > connection->limits.body_bytes
+         && size > connection->server->limits.body_bytes;
+}
+
 /* One Host and no folded or doubled framing (RFC 9112, 3.2 and 6.3).  */
 static bool
 head_is_sound (const http_exchange_t *exchange, const http_parser *parser)
@@ -524,14 +544,13 @@
 on_headers_complete (http_parser *parser)
 {
   http_connection_t *connection = parser->data;
-  http_server_t *server = connection->server;
   http_exchange_t *exchange = connection->reading;
   bool sized
       = !(parser->flags & F_CHUNKED) && parser->content_length != UINT64_MAX;
 
   if (!head_is_sound (exchange, parser))
     return fail_parse (connection, 400);
-  if (sized && parser->content_length > server->limits.body_bytes)
+  if (sized && body_too_large (connection, parser->content_length))
     return fail_parse (connection, 413);
   exchange->method = http_method_str ((enum http_method)parser->method);
   exchange->no_body = parser->method == HTTP_HEAD;
@@ -556,7 +575,7 @@
   http_server_t *server = connection->server;
   http_exchange_t *exchange = connection->reading;
 
-  if (bytes_size (&exchange->body) + size > server->limits.body_bytes)
+  if (body_too_large (connection, bytes_size (&exchange->body) + size))
     return fail_parse (connection, 413);
   if (server->state.body_bytes + size > server->limits.bodies_bytes)
     return fail_parse (connection, 503);
@@ -732,6 +751,13 @@
   return connection->server->loop->now_us - connection->since_us;
 }
 
+/* Whether US is longer than both LIMIT_US allow.  */
+static bool
+is_longer (int64_t us, int64_t limit_us, int64_t other_limit_us)
+{
+  return us > limit_us && us > other_limit_us;
+}
+
 static bool
 is_idle (const http_connection_t *connection)
 {
@@ -756,14 +782,16 @@
 static bool
 is_overdue (const http_connection_t *connection)
 {
-  const http_limits_t *limits = &connection->server->limits;
+  const http_limits_t *own = &connection->limits;
+  const http_limits_t *now = &connection->server->limits;
   const http_exchange_t *reading = connection->reading;
   if (reading == NULL)
     return false;
   if (reading->method != NULL)
-    return quiet_us (connection) > limits->body_timeout_us;
-  return connection->server->loop->now_us - reading->begun_us
-         > limits->header_timeout_us;
+    return is_longer (quiet_us (connection), own->body_timeout_us,
+                      now->body_timeout_us);
+  return is_longer (connection->server->loop->now_us - reading->begun_us,
+                    own->header_timeout_us, now->header_timeout_us);
 }
 
 /* The loop may come late: what has arrived meanwhile is in time.  */
@@ -775,11 +803,16 @@
     refuse_malformed (connection, 408);
 }
 
-static int64_t
-idle_limit_us (const http_connection_t *connection)
+static bool
+is_unused (const http_connection_t *connection)
 {
   const http_server_t *server = connection->server;
-  return server->draining ? DRAIN_IDLE_US : server->limits.idle_timeout_us;
+  if (!is_idle (connection))
+    return false;
+  if (server->draining)
+    return quiet_us (connection) > DRAIN_IDLE_US;
+  return is_longer (quiet_us (connection), connection->limits.idle_timeout_us,
+                    server->limits.idle_timeout_us);
 }
 
 /* Ends a connection that has made no progress for too long.  */
@@ -795,8 +828,7 @@
     check_paused (connection);
   else if (is_overdue (connection))
     end_overdue (connection);
-  else if (is_idle (connection)
-           && quiet_us (connection) > idle_limit_us (connection))
+  else if (is_unused (connection))
     end_idle (connection,
               connection->server->draining ? HTTP_END_DRAINED : HTTP_END_IDLE);
 }
@@ -817,9 +849,16 @@
 static void
 on_sweep (struct ev_loop *ev, ev_timer *timer, int events)
 {
+  http_server_t *server = timer->data;
   (void)ev;
   (void)events;
-  each_connection (timer->data, sweep_one);
+  if (server->notice_end_us > 0
+      && server->loop->now_us >= server->notice_end_us)
+    {
+      server->limits = server->newest;
+      server->notice_end_us = 0;
+    }
+  each_connection (server, sweep_one);
 }
 
 /* --- the listener ------------------------------------------------------ */
@@ -834,6 +873,7 @@
   connection->server = server;
   connection->last = &connection->first;
   connection->peer_ip = peer_ip;
+  connection->limits = server->limits;
   connection->since_us = server->loop->now_us;
   connection->flush
       = (loop_task_t){ .run = connection_flush, .ctx = connection };
@@ -922,10 +962,31 @@
   free (server);
 }
 
+/* What is allowed under either.  */
+static http_limits_t
+wider_limits (const http_limits_t *one, const http_limits_t *other)
+{
+  http_limits_t made = *other;
+  if (one->header_bytes > made.header_bytes)
+    made.header_bytes = one->header_bytes;
+  if (one->body_bytes > made.body_bytes)
+    made.body_bytes = one->body_bytes;
+  if (one->header_timeout_us > made.header_timeout_us)
+    made.header_timeout_us = one->header_timeout_us;
+  if (one->body_timeout_us > made.body_timeout_us)
+    made.body_timeout_us = one->body_timeout_us;
+  if (one->idle_timeout_us > made.idle_timeout_us)
+    made.idle_timeout_us = one->idle_timeout_us;
+  return made;
+}
+
 void
-http_server_set_limits (http_server_t *server, const http_limits_t *limits)
+http_server_set_limits (http_server_t *server, const http_limits_t *limits,
+                        int64_t notice_us)
 {
-  server->limits = *limits;
+  server->limits = wider_limits (&server->limits, limits);
+  server->newest = *limits;
+  server->notice_end_us = server->loop->now_us + notice_us;
 }
 
 static void
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -79,8 +79,10 @@
 /* Closes all connections; the handler hears that open exchanges are gone.  */
 void http_server_free (http_server_t *server);
 
+/* Limits that allow more apply at once, lower ones after NOTICE_US, in which
+   callers hear of them, and not to requests and waits that began before.  */
 void http_server_set_limits (http_server_t *server,
-                             const http_limits_t *limits);
+                             const http_limits_t *limits, int64_t notice_us);
 
 /* From now on each answer closes its connection, and connections on which
    nothing waits are closed.  */
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -29,6 +29,7 @@
   CLOSING_US = 300 * US_PER_MS,       /* for callers to see the closes */
   LAST_ANSWERS_US = 1000 * US_PER_MS, /* kept back from the time to stop */
   BODIES_SHARE = 4, /* of the memory, for bodies of callers: a quarter */
+  LIMITS_NOTICE_US = 5 * US_PER_S, /* for callers to hear of lower limits */
   UNREAD_BYTES = 256 * 1024,
   PIPELINED_MAX = 32,
   BODY_TIMEOUT_US = 10 * US_PER_S /* between two pieces of a body */
@@ -65,7 +66,7 @@
   sidecar_t *sidecar = ctx;
   http_limits_t limits = caller_limits (sidecar, &policy->limits);
   entry_set_policy (sidecar->entry, policy);
-  http_server_set_limits (sidecar->callers, &limits);
+  http_server_set_limits (sidecar->callers, &limits, LIMITS_NOTICE_US);
   for (size_t i = 0; i < policy->account_count; i++)
     quota_set_limit (sidecar->quota, policy->accounts[i].name,
                      policy->accounts[i].rate_per_s,
