Take nothing behind an HTTP/1.0 request

NothingIsTakenBehindARequestWhoseAnswerMayEndWithItsConnection failed on the code before with two requests handed on and two answers in one body. Each HTTP/1.0 request is now the last one that is read on its connection, as its answer closes it.

--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -350,8 +350,6 @@
                 http_status_str ((enum http_status)status));
   bytes_append (out, headers, headers_size);
   exchange->chunked = length < 0 && !exchange->old && !exchange->no_body;
-  if (length < 0 && exchange->old)
-    exchange->close_after = true;
   if (is_last (exchange))
     {
       exchange->close_after = true;
@@ -555,7 +553,8 @@
   exchange->method = http_method_str ((enum http_method)parser->method);
   exchange->no_body = parser->method == HTTP_HEAD;
   exchange->old = parser->http_major == 1 && parser->http_minor == 0;
-  exchange->close_after = !http_should_keep_alive (parser);
+  /* An answer to HTTP/1.0 may end with its connection.  */
+  exchange->close_after = exchange->old || !http_should_keep_alive (parser);
   bytes_append (&exchange->target, "", 1);
   parser->upgrade = 0;
   const field_t *expect = fields_find (&exchange->fields, "Expect");
