Answer what is open at the end of a stop, and wait until callers have it

The process ended as soon as no request was open, or when its time was over. An answer that was written but not yet read by its caller counted as answered, so the end cut it; the same held for answers of runs on their way to other sidecars. Requests that still waited for a server or in the queue of the own one were cut without a refusal, although they had not run and never would.

Evidence: AnAnswerCountsAsUnsentUntilItsCallerHasGotAllOfIt shows an answer of 8 MiB of which the caller has got nothing while no exchange is open any more, which was the condition to end. The table StopEnd calls what did not exist before: nothing ended open requests but the freeing of the server.

Change: the process ends when nothing is open and the sockets have nothing unsent or unacknowledged. One second before its time is over all open requests end: a refusal for what has not run, 502 for what may have, a broken answer for what was half written; queued runs of other sidecars are refused, so that they are placed elsewhere instead of being asked after. Up to 0.7 s are left for callers to read on. A request that is overdue in the own queue is now refused as unrun instead of failed as unknown.

--- a/src/edge/entry_end.c
+++ b/src/edge/entry_end.c
@@ -48,6 +48,12 @@
   ev_timer_stop (entry->parts.loop->ev, &exchange->timer);
   if (exchange->http != NULL)
     exchange->http->user = NULL;
+  if (exchange->prev_open != NULL)
+    exchange->prev_open->next_open = exchange->next_open;
+  else
+    entry->open = exchange->next_open;
+  if (exchange->next_open != NULL)
+    exchange->next_open->prev_open = exchange->prev_open;
   bytes_free (&exchange->fields);
   entry->state.open--;
   free (exchange);
@@ -120,8 +126,11 @@
 exchange_give_up (exchange_t *exchange, entry_end_t end)
 {
   if (exchange->may_have_run)
-    exchange_finish (exchange, end == ENTRY_NO_ROOM ? ENTRY_UNKNOWN : end,
-                     end == ENTRY_DEADLINE ? 504 : 502);
+    {
+      bool decided_here = end == ENTRY_NO_ROOM || end == ENTRY_STOPPING;
+      exchange_finish (exchange, decided_here ? ENTRY_UNKNOWN : end,
+                       end == ENTRY_DEADLINE ? 504 : 502);
+    }
   else
     exchange_finish (exchange, end, 503);
 }
--- a/src/edge/entry_impl.h
+++ b/src/edge/entry_impl.h
@@ -56,6 +56,7 @@
   uint32_t sidecars;
   int64_t stop_since_us; /* 0 is "not stopping" */
   int64_t stop_end_us;
+  exchange_t *open; /* that have not ended */
   entry_state_t state;
 };
 
@@ -71,6 +72,8 @@
 struct exchange_t
 {
   entry_point_t *entry;
+  exchange_t *next_open;
+  exchange_t *prev_open;
   http_exchange_t *http;
   ev_timer timer;
   step_t step;
@@ -139,6 +142,9 @@
 void exchange_told_done (exchange_t *exchange, run_result_t result,
                          int64_t run_us, const server_load_t *load);
 
+/* Ends it for want of time, as what is known of its run allows.  */
+void exchange_stop (exchange_t *exchange);
+
 void exchange_on_timer (struct ev_loop *ev, ev_timer *timer, int events);
 
 /* --- entry_answer.c ---------------------------------------------------- */
--- a/src/edge/entry_place.c
+++ b/src/edge/entry_place.c
@@ -256,6 +256,33 @@
   return true;
 }
 
+/* Ends it whatever its run does.  */
+static void
+end_now (exchange_t *exchange, entry_end_t end)
+{
+  bool begun = exchange->run == NULL || run_has_begun (exchange->run);
+  if ((exchange->step == STEP_SENT && begun) || exchange->step == STEP_ASKING)
+    exchange->may_have_run = true;
+  exchange_let_go (exchange);
+  if (exchange->step == STEP_SENT)
+    exchange_told_done (exchange, RUN_CANCELLED, 0, &(server_load_t){ 0 });
+  if (exchange->step != STEP_ANSWERING)
+    {
+      exchange_give_up (exchange, end);
+      return;
+    }
+  http_exchange_t *http = exchange->http;
+  exchange_count_end (exchange, end);
+  exchange_free (exchange);
+  http_abort (http);
+}
+
+void
+exchange_stop (exchange_t *exchange)
+{
+  end_now (exchange, ENTRY_STOPPING);
+}
+
 void
 exchange_on_timer (struct ev_loop *ev, ev_timer *timer, int events)
 {
@@ -279,18 +306,5 @@
       exchange_ask (exchange);
       return;
     }
-  if (exchange->step == STEP_SENT || exchange->step == STEP_ASKING)
-    exchange->may_have_run = true;
-  exchange_let_go (exchange);
-  if (exchange->step == STEP_SENT)
-    exchange_told_done (exchange, RUN_CANCELLED, 0, &(server_load_t){ 0 });
-  if (exchange->step != STEP_ANSWERING)
-    {
-      exchange_give_up (exchange, ENTRY_DEADLINE);
-      return;
-    }
-  http_exchange_t *http = exchange->http;
-  exchange_count_end (exchange, ENTRY_DEADLINE);
-  exchange_free (exchange);
-  http_abort (http);
+  end_now (exchange, ENTRY_DEADLINE);
 }
--- a/src/edge/entry_point.c
+++ b/src/edge/entry_point.c
@@ -227,6 +227,10 @@
   exchange->deadline_us = entry->parts.loop->now_us + US_PER_S;
   http->user = exchange;
   entry->state.open++;
+  exchange->next_open = entry->open;
+  if (entry->open != NULL)
+    entry->open->prev_open = exchange;
+  entry->open = exchange;
   ev_timer_init (&exchange->timer, exchange_on_timer, 0, 0);
   exchange->timer.data = exchange;
 
@@ -338,6 +342,13 @@
   entry->stop_end_us = end_us;
 }
 
+void
+entry_end_open (entry_point_t *entry)
+{
+  while (entry->open != NULL)
+    exchange_stop (entry->open);
+}
+
 http_handler_t
 entry_handler (entry_point_t *entry)
 {
--- a/src/edge/entry_point.h
+++ b/src/edge/entry_point.h
@@ -78,6 +78,10 @@
 /* The sidecar began to stop at SINCE_US and ends at END_US.  */
 void entry_set_stop (entry_point_t *entry, int64_t since_us, int64_t end_us);
 
+/* Ends all open requests, at the end of a stop: a refusal for what has not
+   run, a failure for what may have.  */
+void entry_end_open (entry_point_t *entry);
+
 /* The handler of the callers' listener.  */
 http_handler_t entry_handler (entry_point_t *entry);
 
--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -988,6 +988,16 @@
   server->notice_end_us = server->loop->now_us + notice_us;
 }
 
+bool
+http_server_is_unsent (const http_server_t *server)
+{
+  for (const http_connection_t *at = server->connections; at != NULL;
+       at = at->next)
+    if (bytes_size (&at->out) > 0 || loop_unsent (at->reader.fd) > 0)
+      return true;
+  return false;
+}
+
 static void
 drain_one (http_connection_t *connection)
 {
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -88,6 +88,9 @@
    nothing waits are closed.  */
 void http_server_drain (http_server_t *server);
 
+/* Whether a caller has not got all of an answer that was written.  */
+bool http_server_is_unsent (const http_server_t *server);
+
 /* No new connections are accepted.  */
 void http_server_stop_listening (http_server_t *server);
 
--- a/src/edge/peer.c
+++ b/src/edge/peer.c
@@ -243,6 +243,16 @@
   free (peers);
 }
 
+bool
+peer_set_is_unsent (const peer_set_t *peers)
+{
+  for (const peer_link_t *link = peers->links; link != NULL; link = link->next)
+    if (!link->connecting
+        && (bytes_size (&link->out) > 0 || loop_unsent (link->reader.fd) > 0))
+      return true;
+  return false;
+}
+
 vm_id_t
 peer_set_vm (const peer_set_t *peers)
 {
--- a/src/edge/peer.h
+++ b/src/edge/peer.h
@@ -49,6 +49,9 @@
 peer_set_t *peer_set_new (loop_t *loop, endpoint_addr_t addr,
                           endpoint_addr_t bind, const peer_handler_t *handler,
                           error_info_t *error);
+/* Whether a link has bytes that its peer has not got.  */
+bool peer_set_is_unsent (const peer_set_t *peers);
+
 void peer_set_free (peer_set_t *peers);
 
 /* The address that was bound.  */
--- a/src/edge/runner.c
+++ b/src/edge/runner.c
@@ -321,6 +321,13 @@
   intake_set_server (runner->intake, server, runner->loop->now_us);
 }
 
+void
+runner_stop (runner_t *runner)
+{
+  intake_server_t server = { .leaving = true };
+  intake_set_server (runner->intake, &server, runner->loop->now_us);
+}
+
 int64_t
 runner_tick (runner_t *runner)
 {
--- a/src/edge/runner.h
+++ b/src/edge/runner.h
@@ -61,9 +61,15 @@
    answer is kept for a question about it.  Any other ends unrun.  */
 void run_cancel (run_t *run);
 
+/* Whether the server may have begun it.  */
+bool run_has_begun (const run_t *run);
+
 /* Stops or goes on reading the answer.  */
 void run_pause (run_t *run, bool pause);
 
+/* Refuses what is queued, and all that comes.  */
+void runner_stop (runner_t *runner);
+
 /* Starts what waits and can.  Returns when it is next due.  */
 int64_t runner_tick (runner_t *runner);
 
--- a/src/edge/runner_impl.h
+++ b/src/edge/runner_impl.h
@@ -117,7 +117,6 @@
 void run_break_off (run_t *run);
 
 /* Whether the server may have begun to work on RUN.  */
-bool run_has_begun (const run_t *run);
 
 /* The server is gone: what it cut lately counts as run when it crashed.  */
 void runner_count_crash (runner_t *runner);
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -28,6 +28,7 @@
   READY_NOTICE_US = 2300 * US_PER_MS,
   CLOSING_US = 300 * US_PER_MS,       /* for callers to see the closes */
   LAST_ANSWERS_US = 1000 * US_PER_MS, /* kept back from the time to stop */
+  LAST_BYTES_US = 700 * US_PER_MS,    /* of these, for callers to read on */
   BODIES_SHARE = 4, /* of the memory, for bodies of callers: a quarter */
   LIMITS_NOTICE_US = 5 * US_PER_S, /* for callers to hear of lower limits */
   UNREAD_BYTES = 256 * 1024,
@@ -234,6 +235,14 @@
   return (int64_t)(sidecar->settings.stop_s * US_PER_S) - LAST_ANSWERS_US;
 }
 
+/* Whether somebody has not got all of what was written for them.  */
+static bool
+is_unsent (const sidecar_t *sidecar)
+{
+  return http_server_is_unsent (sidecar->callers)
+         || peer_set_is_unsent (sidecar->peers);
+}
+
 static void
 next_phase (sidecar_t *sidecar)
 {
@@ -246,9 +255,17 @@
       sidecar->phase = PHASE_DRAINING;
       http_server_drain (sidecar->callers);
     }
-  bool done = sidecar->phase == PHASE_DRAINING && open == 0
-              && age_us >= READY_NOTICE_US + CLOSING_US;
-  if (done || age_us >= most_us)
+  if (sidecar->phase != PHASE_ENDING && age_us >= most_us)
+    {
+      sidecar->phase = PHASE_ENDING;
+      runner_stop (sidecar->runner);
+      entry_end_open (sidecar->entry);
+      http_server_drain (sidecar->callers);
+    }
+  bool drained = sidecar->phase == PHASE_DRAINING && open == 0
+                 && age_us >= READY_NOTICE_US + CLOSING_US;
+  bool ended = drained || sidecar->phase == PHASE_ENDING;
+  if ((ended && !is_unsent (sidecar)) || age_us >= most_us + LAST_BYTES_US)
     {
       event_log (&sidecar->log, EVENT_LIFE, "stopped",
                  "after-ms=%lld open=%u connections=%u",
--- a/src/edge/sidecar_impl.h
+++ b/src/edge/sidecar_impl.h
@@ -21,8 +21,9 @@
 typedef enum phase_t
 {
   PHASE_RUNNING,
-  PHASE_NOTICE,  /* not ready any more, still serving */
-  PHASE_DRAINING /* each answer closes its connection */
+  PHASE_NOTICE,   /* not ready any more, still serving */
+  PHASE_DRAINING, /* each answer closes its connection */
+  PHASE_ENDING    /* what was open has ended; last answers go out */
 } phase_t;
 
 /* Changes that the next reports tell.  */
--- a/tests/mesh_unanswered_test.cc
+++ b/tests/mesh_unanswered_test.cc
@@ -178,6 +178,118 @@
   EXPECT_TRUE (wait ([&] { return caller.has (body); }));
 }
 
+TEST_F (Loop, AnAnswerCountsAsUnsentUntilItsCallerHasGotAllOfIt)
+{
+  Server server (&loop, limits ());
+  std::string body (8 << 20, 'x');
+  server.answer = [&] (http_exchange_t *exchange) {
+    http_respond (exchange, 200, nullptr, 0, body.data (), body.size ());
+  };
+  Caller caller (server.port ());
+  EXPECT_FALSE (http_server_is_unsent (server.server));
+  caller.send (get ("/large"));
+  ASSERT_TRUE (wait ([&] { return server.targets.size () == 1; }));
+  EXPECT_EQ (0u, http_server_state (server.server).exchanges);
+  EXPECT_TRUE (http_server_is_unsent (server.server));
+  ASSERT_TRUE (wait ([&] { return caller.has (body); }));
+  EXPECT_TRUE (wait ([&] { return !http_server_is_unsent (server.server); }));
+}
+
+/* --- the end of a stop -------------------------------------------------- */
+
+typedef enum stage_t
+{
+  WAITS_FOR_A_SERVER,
+  QUEUED_HERE,
+  RUNS_HERE,
+  RUNS_ELSEWHERE,
+  HALF_ANSWERED
+} stage_t;
+
+struct StopRow
+{
+  const char *name;
+  stage_t stage;
+  const char *method;
+  const char *path;
+  const char *seen; /* by the caller; NULL is an answer that is not whole */
+};
+
+class StopEnd : public Two, public testing::WithParamInterface<StopRow>
+{
+};
+
+/* At the end of a stop each open request still gets its end.  */
+TEST_P (StopEnd, EachOpenRequestIsAnsweredTruly)
+{
+  const StopRow &row = GetParam ();
+  bool here = row.stage == QUEUED_HERE || row.stage == RUNS_HERE;
+  size_t runs = row.stage == WAITS_FOR_A_SERVER ? 0 : 1;
+  if (here)
+    start_a_beside_the_server ();
+  if (row.stage == WAITS_FOR_A_SERVER)
+    {
+      b->identity.accepting = 0;
+      ASSERT_TRUE (wait ([&] {
+        peer_set_tick (b->peers, true, true);
+        return placement_accepting (a->placement, "s") == 0;
+      }));
+    }
+  Caller first (http_server_port (a->callers));
+  Caller caller (http_server_port (a->callers));
+  if (row.stage == QUEUED_HERE)
+    {
+      intake_server_t one = { 1, true, false, false, 0, 0 };
+      runner_set_server (a->runner, &one, "i");
+      first.send (request ("GET", "/read/0", "id-0"));
+      ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+    }
+  caller.send (request (row.method, row.path, "id-1"));
+  uint32_t open = row.stage == QUEUED_HERE ? 2 : 1;
+  ASSERT_TRUE (wait ([&] {
+    return entry_state (a->entry).open == open
+           && backend->targets.size () == runs;
+  }));
+  if (row.stage == HALF_ANSWERED)
+    {
+      std::string head = "X-Attempt-Id: id-1\r\nX-Server-Signature: s\r\n";
+      std::string piece (40000, 'x');
+      http_begin (backend->open[0], 200, head.data (), head.size (), -1);
+      http_piece (backend->open[0], piece.data (), piece.size ());
+      ASSERT_TRUE (wait ([&] { return caller.has ("xxx"); }));
+    }
+  runner_stop (a->runner);
+  entry_end_open (a->entry);
+  EXPECT_EQ (0u, entry_state (a->entry).open);
+  if (row.seen == nullptr)
+    {
+      ASSERT_TRUE (wait ([&] { return caller.is_over (); }));
+      EXPECT_EQ (std::string::npos, caller.got.find ("\r\n0\r\n\r\n"));
+      return;
+    }
+  ASSERT_TRUE (wait ([&] { return caller.has ("\r\n\r\n"); }));
+  EXPECT_EQ (0u, caller.got.find (std::string ("HTTP/1.1 ") + row.seen))
+      << caller.got;
+  EXPECT_EQ (runs, backend->targets.size ());
+}
+
+const StopRow stop_rows[] = {
+  { "ReadThatWaits", WAITS_FOR_A_SERVER, "GET", "/read/1", "503" },
+  { "BookingThatWaits", WAITS_FOR_A_SERVER, "POST", "/book/1", "503" },
+  { "QueuedRead", QUEUED_HERE, "GET", "/read/1", "503" },
+  { "QueuedBooking", QUEUED_HERE, "POST", "/book/1", "503" },
+  { "ReadThatRunsHere", RUNS_HERE, "GET", "/read/1", "502" },
+  { "BookingThatRunsHere", RUNS_HERE, "POST", "/book/1", "502" },
+  { "ReadThatRunsElsewhere", RUNS_ELSEWHERE, "GET", "/read/1", "502" },
+  { "BookingThatRunsElsewhere", RUNS_ELSEWHERE, "POST", "/book/1", "502" },
+  { "HalfAnsweredRead", HALF_ANSWERED, "GET", "/read/1", nullptr },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, StopEnd, testing::ValuesIn (stop_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+
 /* --- limits that change ------------------------------------------------ */
 
 /* Callers go by the limit that they knew when they used a connection.  */
