Let go of callers that take nothing of their answer

An idle connection is one whose caller has got all of the last answer, so nothing bounded any more how long an answer that nobody reads is held; before, the idle limit cut it, also for a caller that only paused.

A caller that takes nothing for as long as it may pause in a body is let go of, after a try to send, as the loop may have come late. The end is counted as unread. ACallerThatTakesNothingOfItsAnswerIsLetGo failed on the code before (the connection stayed); ACallerThatReadsOnWhileTheLoopIsLateGetsItsWholeAnswer guards the look before it.

--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -73,7 +73,8 @@
 static const char *const end_names[HTTP_END_COUNT] = {
   [HTTP_END_CALLER] = "caller", [HTTP_END_ANSWERED] = "answered",
   [HTTP_END_IDLE] = "idle",     [HTTP_END_DRAINED] = "drained",
-  [HTTP_END_BROKEN] = "broken", [HTTP_END_FREED] = "freed",
+  [HTTP_END_UNREAD] = "unread", [HTTP_END_BROKEN] = "broken",
+  [HTTP_END_FREED] = "freed",
 };
 
 const char *
@@ -757,6 +758,13 @@
   return us > limit_us && us > other_limit_us;
 }
 
+static bool
+is_stalled (const http_connection_t *connection)
+{
+  return is_longer (quiet_us (connection), connection->limits.body_timeout_us,
+                    connection->server->limits.body_timeout_us);
+}
+
 static bool
 is_idle (const http_connection_t *connection)
 {
@@ -774,7 +782,7 @@
 {
   read_block (connection);
   if (!connection->dead && is_idle (connection)
-      && loop_unsent (connection->reader.fd) == 0)
+      && (loop_unsent (connection->reader.fd) == 0 || is_stalled (connection)))
     connection_close (connection, end);
 }
 
@@ -787,8 +795,7 @@
   if (reading == NULL)
     return false;
   if (reading->method != NULL)
-    return is_longer (quiet_us (connection), own->body_timeout_us,
-                      now->body_timeout_us);
+    return is_stalled (connection);
   return is_longer (connection->server->loop->now_us - reading->begun_us,
                     own->header_timeout_us, now->header_timeout_us);
 }
@@ -802,6 +809,21 @@
     refuse_malformed (connection, 408);
 }
 
+static bool
+is_unread (const http_connection_t *connection)
+{
+  return bytes_size (&connection->out) > 0 && is_stalled (connection);
+}
+
+/* The caller may have read on while the loop was late.  */
+static void
+end_unread (http_connection_t *connection)
+{
+  connection_flush (connection);
+  if (!connection->dead && is_unread (connection))
+    connection_close (connection, HTTP_END_UNREAD);
+}
+
 static bool
 is_unused (const http_connection_t *connection)
 {
@@ -827,6 +849,8 @@
     check_paused (connection);
   else if (is_overdue (connection))
     end_overdue (connection);
+  else if (is_unread (connection))
+    end_unread (connection);
   else if (is_unused (connection))
     end_idle (connection,
               connection->server->draining ? HTTP_END_DRAINED : HTTP_END_IDLE);
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -16,7 +16,7 @@
   uint32_t header_bytes;
   uint64_t body_bytes;
   int64_t header_timeout_us; /* for a request's whole head */
-  int64_t body_timeout_us;   /* between two pieces of a body */
+  int64_t body_timeout_us;   /* between two pieces of a body or an answer */
   int64_t idle_timeout_us;   /* between requests */
   uint32_t pipelined;        /* requests read ahead on one connection */
   uint64_t bodies_bytes;     /* held for all callers together */
@@ -108,6 +108,7 @@
   HTTP_END_ANSWERED, /* behind the last answer */
   HTTP_END_IDLE,     /* no request for the idle limit */
   HTTP_END_DRAINED,  /* idle when the server began to drain */
+  HTTP_END_UNREAD,   /* its caller has stopped reading an answer */
   HTTP_END_BROKEN,   /* an answer was broken off */
   HTTP_END_FREED,    /* the server was freed */
   HTTP_END_COUNT
--- a/tests/mesh_unanswered_test.cc
+++ b/tests/mesh_unanswered_test.cc
@@ -178,6 +178,37 @@
   EXPECT_TRUE (wait ([&] { return caller.has (body); }));
 }
 
+/* Without it an answer that nobody reads is held for good.  */
+TEST_F (Loop, ACallerThatTakesNothingOfItsAnswerIsLetGo)
+{
+  Server server (&loop, limits ());
+  std::string body (8 << 20, 'x');
+  server.answer = [&] (http_exchange_t *exchange) {
+    http_respond (exchange, 200, nullptr, 0, body.data (), body.size ());
+  };
+  Caller caller (server.port ());
+  caller.send (get ("/large"));
+  ASSERT_TRUE (wait ([&] { return server.targets.size () == 1; }));
+  EXPECT_TRUE (wait (
+      [&] { return http_server_state (server.server).connections == 0; }));
+  EXPECT_EQ (1u, http_server_state (server.server).ends[HTTP_END_UNREAD]);
+}
+
+TEST_F (Loop, ACallerThatReadsOnWhileTheLoopIsLateGetsItsWholeAnswer)
+{
+  Server server (&loop, limits ());
+  std::string body (8 << 20, 'x');
+  server.answer = [&] (http_exchange_t *exchange) {
+    http_respond (exchange, 200, nullptr, 0, body.data (), body.size ());
+  };
+  Caller caller (server.port ());
+  caller.send (get ("/large"));
+  ASSERT_TRUE (wait ([&] { return server.targets.size () == 1; }));
+  hold_the_loop (2 * limits ().body_timeout_us);
+  EXPECT_FALSE (caller.has (body));
+  EXPECT_TRUE (wait ([&] { return caller.has (body); }));
+}
+
 TEST_F (Loop, AnAnswerCountsAsUnsentUntilItsCallerHasGotAllOfIt)
 {
   Server server (&loop, limits ());
