--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -37,8 +37,9 @@
   /* When its newest request began, or the wait for one.  A caller is held to
      these or to the server's, whichever allow more.  */
   http_limits_t limits;
-  int64_t since_us;  /* last progress */
-  int64_t paused_us; /* since when a close goes unnoticed, or 0 */
+  int64_t since_us;   /* last progress */
+  int64_t stalled_us; /* since when its caller is seen not to read, or 0 */
+  int64_t paused_us;  /* since when a close goes unnoticed, or 0 */
   uint32_t peer_ip;
   int error_status; /* of a malformed request, or 0 */
   http_end_report_t report;
@@ -275,6 +276,7 @@
         }
       bytes_consume (&connection->out, (size_t)sent);
       connection->since_us = connection->server->loop->now_us;
+      connection->stalled_us = 0;
       if (connection->reading == NULL)
         connection->limits = connection->server->limits;
     }
@@ -815,12 +817,14 @@
   return bytes_size (&connection->out) > 0 && is_stalled (connection);
 }
 
-/* The caller may have read on while the loop was late.  */
+/* The loop may have come late, so the caller gets a little time to read on. */
 static void
 end_unread (http_connection_t *connection)
 {
-  connection_flush (connection);
-  if (!connection->dead && is_unread (connection))
+  int64_t now_us = connection->server->loop->now_us;
+  if (connection->stalled_us == 0)
+    connection->stalled_us = now_us;
+  else if (now_us - connection->stalled_us > SWEEP_US)
     connection_close (connection, HTTP_END_UNREAD);
 }
 
