Let an answer that has begun take until its deadline

Cause: while a read is on its way, its timer is set to when an answer is overdue (six mean runs of the route, 200 ms at least), so that another server can be tried. The timer stayed when the head of a long answer (more than 32 KiB) was handed on. When it fired, no other server could be tried any more, and the code went on as if the deadline had passed: it cancelled the run and closed the connection.

Ruled out: links (it also happens beside the server), bookings (their timer is set to the deadline from the start).

The timer is now set to the deadline as the answer begins.

--- a/src/edge/entry_impl.h
+++ b/src/edge/entry_impl.h
@@ -132,6 +132,10 @@
    what that costs.  */
 bool exchange_may_repeat (exchange_t *exchange);
 
+/* The head of its answer goes to the caller: no other server is tried, and the
+   rest may take until the deadline.  */
+void exchange_begin_answer (exchange_t *exchange);
+
 /* Its run goes on without it, or is cancelled.  */
 void exchange_let_go (exchange_t *exchange);
 
--- a/src/edge/entry_place.c
+++ b/src/edge/entry_place.c
@@ -218,6 +218,13 @@
     exchange_wait_to_ask (exchange);
 }
 
+void
+exchange_begin_answer (exchange_t *exchange)
+{
+  exchange->step = STEP_ANSWERING;
+  set_timer (exchange, exchange->deadline_us - MARGIN_US);
+}
+
 void
 exchange_let_go (exchange_t *exchange)
 {
