Read a connection again that was paused at the end of an answer

Cause: a run is paused when its caller or its link has more than a window of the answer to take. If the bytes that fill the window are the last of the answer, the connection goes back to the pool of kept ones with its reader stopped, and the next run on it never reads its answer. Nor was it seen when the server closed such a connection.

A connection that goes back to the pool is read again.

--- a/src/edge/http_client.c
+++ b/src/edge/http_client.c
@@ -281,6 +281,8 @@
   if (keep)
     {
       call->active = false;
+      /* Its handler may have paused it with the last bytes.  */
+      ev_io_start (client->loop->ev, &call->reader);
       call->idle_since_us = client->loop->now_us;
       call->next_idle = client->idle;
       client->idle = call;
--- a/tests/mesh_cut_test.cc
+++ b/tests/mesh_cut_test.cc
@@ -88,4 +88,42 @@
                           [] (const auto &row) {
                             return std::string (row.param.name);
                           });
+
+/* --- answers that outrun their caller ------------------------------------ */
+
+/* The last bytes of an answer may be what fills the window.  */
+TEST_F (Runs, AConnectionThatWasPausedAtTheEndOfAnAnswerIsReadAgain)
+{
+  struct Slow
+  {
+    run_t *run = nullptr;
+    int ended = 0;
+  } slow;
+  sink = { [] (void *, const call_reply_t *, const char *, size_t, bool) {},
+           [] (void *ctx, const char *, size_t, bool last) {
+             Slow *self = (Slow *)ctx;
+             self->ended += last;
+             if (!last)
+               run_pause (self->run, true);
+           },
+           [] (void *, const call_failure_t *) {}, &slow };
+  slow.run = start (call ("id-1", true));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  answer_signed (backend->open[0], "id-1", std::string (40000, 'x'));
+  backend->open.clear ();
+  ASSERT_TRUE (wait ([&] { return slow.ended == 1; }));
+
+  sink = { [] (void *ctx, const call_reply_t *, const char *, size_t,
+               bool last) { ((Slow *)ctx)->ended += last; },
+           [] (void *, const char *, size_t, bool) {},
+           [] (void *ctx, const call_failure_t *) {
+             ((Slow *)ctx)->ended = -9;
+           },
+           &slow };
+  start (call ("id-2", true));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  answer_signed (backend->open[0], "id-2", "short");
+  EXPECT_TRUE (wait ([&] { return slow.ended != 1; }));
+  EXPECT_EQ (2, slow.ended);
+}
 }
