Read what has arrived on a link before a failed send ends it

Reads were not tried.

Cause: a sidecar that ends with unread bytes resets its links. Answers that it sent before are still in the socket of the other side. If that side sends before it reads, in the same turn of the loop, the send fails, and the link was closed with the answers unread; their calls counted as lost.

Ruled out: an end that is noticed by reading; the answers ahead of it were read already.

Evidence: the new test failed before: an answer and a reset arrive, then a report is due; the caller got "504 deadline-passed" instead of the answer.

When a send fails, the link is read to its end before it is closed.

--- a/src/edge/peer_link.c
+++ b/src/edge/peer_link.c
@@ -16,6 +16,8 @@
   REPORT_ROOM = 256 * 1024
 };
 
+static bool read_once (peer_link_t *link);
+
 static void
 link_flush (void *ctx)
 {
@@ -35,6 +37,9 @@
         }
       if (sent < 0)
         {
+          /* Answers may have arrived ahead of the end.  */
+          while (read_once (link))
+            ;
           link_close (link);
           return;
         }
--- a/tests/mesh_cut_test.cc
+++ b/tests/mesh_cut_test.cc
@@ -126,4 +126,193 @@
   EXPECT_TRUE (wait ([&] { return slow.ended != 1; }));
   EXPECT_EQ (2, slow.ended);
 }
+
+/* --- links, with a sidecar of the test's own at the other end -------------
+ */
+
+std::string
+frame_of (mesh_kind kind, xdrproc_t encode, void *value)
+{
+  char block[4096];
+  XDR xdr;
+  xdrmem_create (&xdr, block, sizeof block, XDR_ENCODE);
+  EXPECT_TRUE (encode (&xdr, value));
+  uint32_t head[] = { htonl (xdr_getpos (&xdr)), htonl ((uint32_t)kind) };
+  return std::string ((char *)head, sizeof head)
+         + std::string (block, xdr_getpos (&xdr));
+}
+
+/* One end of a link.  */
+struct End
+{
+  int fd;
+  std::string got;
+
+  explicit End (int fd) : fd (fd) { fcntl (fd, F_SETFL, O_NONBLOCK); }
+  ~End ()
+  {
+    if (fd >= 0)
+      close (fd);
+  }
+  void
+  send (const std::string &frame)
+  {
+    EXPECT_EQ ((ssize_t)frame.size (),
+               ::send (fd, frame.data (), frame.size (), MSG_NOSIGNAL));
+  }
+  void
+  send_report (vm_id_t vm)
+  {
+    mesh_identity identity = {};
+    identity.vm = vm;
+    identity.incarnation = 300;
+    identity.service = (char *)"s";
+    identity.zone = (char *)"z";
+    identity.server = (char *)"i";
+    identity.accepting = 1;
+    identity.slots = 10;
+    mesh_report report = {};
+    report.identity = &identity;
+    send (frame_of (MESH_REPORT, (xdrproc_t)xdr_mesh_report, &report));
+  }
+  void
+  send_answer (uint64_t stream, const char *body)
+  {
+    char fields[] = "X-Server-Signature: s\r\n";
+    mesh_reply reply = {};
+    reply.stream = stream;
+    reply.status = 200;
+    reply.last = 1;
+    reply.length = (int64_t)strlen (body);
+    reply.fields = { (u_int)strlen (fields), fields };
+    reply.body = { (u_int)strlen (body), (char *)body };
+    send (frame_of (MESH_REPLY, (xdrproc_t)xdr_mesh_reply, &reply));
+  }
+  void
+  reset ()
+  {
+    struct linger now = { 1, 0 };
+    setsockopt (fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    close (fd);
+    fd = -1;
+  }
+  /* The stream of the first call that has come, or 0.  */
+  uint64_t
+  call ()
+  {
+    char block[4096];
+    ssize_t size;
+    while ((size = recv (fd, block, sizeof block, 0)) > 0)
+      got.append (block, (size_t)size);
+    uint32_t head[2];
+    for (size_t at = 0; at + sizeof head <= got.size ();
+         at += sizeof head + ntohl (head[0]))
+      {
+        memcpy (head, got.data () + at, sizeof head);
+        if (ntohl (head[1]) != MESH_CALL
+            || at + sizeof head + ntohl (head[0]) > got.size ())
+          continue;
+        mesh_call call = {};
+        XDR xdr;
+        xdrmem_create (&xdr, &got[at + sizeof head], ntohl (head[0]),
+                       XDR_DECODE);
+        EXPECT_TRUE (xdr_mesh_call (&xdr, &call));
+        uint64_t stream = call.stream;
+        xdr_free ((xdrproc_t)xdr_mesh_call, (char *)&call);
+        return stream;
+      }
+    return 0;
+  }
+};
+
+/* Callers enter at A, whose one peer is played by the test.  */
+class Played : public Two
+{
+protected:
+  int listener = -1;
+  vm_id_t own = 0;
+
+  void
+  SetUp () override
+  {
+    Two::SetUp ();
+    peer_set_remove (a->peers, peer_set_vm (b->peers));
+    b.reset ();
+    ASSERT_TRUE (wait ([&] { return peer_set_state (a->peers).up == 0; }));
+  }
+  void
+  TearDown () override
+  {
+    if (listener >= 0)
+      close (listener);
+    Two::TearDown ();
+  }
+  /* Gives the peer an id above that of A, or below it.  */
+  void
+  listen (bool above)
+  {
+    std::vector<int> others;
+    do
+      {
+        error_info_t error = {};
+        if (listener >= 0)
+          others.push_back (listener);
+        listener = loop_listen (loopback (), &error);
+        ASSERT_GE (listener, 0) << error.message;
+        struct sockaddr_in at = {};
+        socklen_t size = sizeof at;
+        getsockname (listener, (struct sockaddr *)&at, &size);
+        own = vm_id_make (INADDR_LOOPBACK, ntohs (at.sin_port));
+      }
+    while ((own > peer_set_vm (a->peers)) != above);
+    for (int fd : others)
+      close (fd);
+  }
+  /* A link that A has opened.  */
+  std::unique_ptr<End>
+  accept ()
+  {
+    int fd = -1;
+    peer_set_add (a->peers, own);
+    EXPECT_TRUE (wait ([&] {
+      peer_set_tick (a->peers, true, true);
+      fd = fd < 0 ? ::accept (listener, nullptr, nullptr) : fd;
+      return fd >= 0;
+    }));
+    return std::make_unique<End> (fd);
+  }
+  /* A link to A.  */
+  std::unique_ptr<End>
+  dial ()
+  {
+    struct sockaddr_in to
+        = loop_sockaddr (loopback (vm_id_port (peer_set_vm (a->peers))));
+    int fd = socket (AF_INET, SOCK_STREAM, 0);
+    EXPECT_EQ (0, connect (fd, (struct sockaddr *)&to, sizeof to));
+    return std::make_unique<End> (fd);
+  }
+  bool
+  wait_for_reports (uint64_t frames)
+  {
+    return wait (
+        [&] { return peer_set_state (a->peers).frames_in >= frames; });
+  }
+};
+
+TEST_F (Played, AnAnswerThatHasArrivedIsNotLostWithAFailedSend)
+{
+  listen (true);
+  std::unique_ptr<End> end = accept ();
+  end->send_report (own);
+  ASSERT_TRUE (
+      wait ([&] { return placement_accepting (a->placement, "s") == 1; }));
+  Caller caller (http_server_port (a->callers));
+  caller.send (request ("POST", "/book/1", "id-1"));
+  ASSERT_TRUE (wait ([&] { return end->call () != 0; }));
+  end->send_answer (end->call (), "booked");
+  end->reset ();
+  peer_set_report (a->peers, true, true);
+  ASSERT_TRUE (wait ([&] { return caller.has ("\r\n\r\n"); }));
+  EXPECT_EQ (0u, caller.got.find ("HTTP/1.1 200")) << caller.got;
+}
 }
