Read a link before it counts as silent

Cause: a link is silent when nothing was read from it for a second, by the time of the loop. After a pause the tick comes before the readers (libev runs the callbacks of timers ahead of those of sockets), so each link was closed with reports and answers in its socket, and all calls on it were lost.

Evidence: the new test failed before: with a report in the socket and the loop held for two seconds, the tick closed the link (lost=2 instead of 1) and placement lost the server.

What has arrived on a link is read before it is judged silent.

--- a/src/edge/peer.c
+++ b/src/edge/peer.c
@@ -133,13 +133,23 @@
          && link->peers->loop->now_us - link->opened_us > PEER_SILENCE_US;
 }
 
+static bool
+is_silent (const peer_link_t *link)
+{
+  int64_t now_us = link->peers->loop->now_us;
+  return link->heard_us == 0 ? now_us - link->opened_us > CONNECT_US
+                             : now_us - link->heard_us > PEER_SILENCE_US;
+}
+
 static void
 check_link (peer_link_t *link)
 {
-  int64_t now_us = link->peers->loop->now_us;
-  bool opening = link->heard_us == 0;
-  if (opening ? now_us - link->opened_us > CONNECT_US
-              : now_us - link->heard_us > PEER_SILENCE_US)
+  /* The loop may come late to what has arrived in time.  */
+  if (is_silent (link) && !link->connecting)
+    link_read (link);
+  if (link->dead)
+    return;
+  if (is_silent (link))
     link_close (link);
   else if (is_spare (link))
     link_close (link);
--- a/src/edge/peer_impl.h
+++ b/src/edge/peer_impl.h
@@ -101,6 +101,9 @@
 void link_close (peer_link_t *link);
 void link_bury (void *peers);
 
+/* Takes what has arrived.  The link may be dead on return.  */
+void link_read (peer_link_t *link);
+
 /* Encodes VALUE as a frame.  ROOM is at least its size.  */
 void link_send (peer_link_t *link, mesh_kind kind, xdrproc_t encode,
                 void *value, size_t room);
--- a/src/edge/peer_link.c
+++ b/src/edge/peer_link.c
@@ -217,16 +217,21 @@
   return !link->dead;
 }
 
+void
+link_read (peer_link_t *link)
+{
+  for (int i = 0; i < READS_A_TURN && read_once (link); i++)
+    ;
+}
+
 /* Reads a backlog whole: calls go out at the end of the turn, so a call whose
    cancellation is read in the same turn is never sent.  */
 static void
 on_readable (struct ev_loop *ev, ev_io *reader, int events)
 {
-  peer_link_t *link = reader->data;
   (void)ev;
   (void)events;
-  for (int i = 0; i < READS_A_TURN && read_once (link); i++)
-    ;
+  link_read (reader->data);
 }
 
 static void
--- a/tests/mesh_cut_test.cc
+++ b/tests/mesh_cut_test.cc
@@ -3,6 +3,8 @@
 
 #include "support_edge.h"
 
+#include <thread>
+
 namespace
 {
 const size_t LONG_BYTES = 200000; /* handed on before the answer is whole */
@@ -315,4 +317,34 @@
   ASSERT_TRUE (wait ([&] { return caller.has ("\r\n\r\n"); }));
   EXPECT_EQ (0u, caller.got.find ("HTTP/1.1 200")) << caller.got;
 }
+
+/* After a pause of the VM, for one.  */
+TEST_F (Played, ALinkWhoseReportHasArrivedIsNotSilent)
+{
+  listen (true);
+  std::unique_ptr<End> end = accept ();
+  end->send_report (own);
+  ASSERT_TRUE (
+      wait ([&] { return placement_accepting (a->placement, "s") == 1; }));
+  uint64_t lost = peer_set_state (a->peers).lost;
+  bool ticked = false;
+  std::pair<Sidecar *, bool *> ctx = { a.get (), &ticked };
+  ev_timer tick;
+  ev_timer_init (
+      &tick,
+      [] (struct ev_loop *, ev_timer *timer, int) {
+        auto *told = (std::pair<Sidecar *, bool *> *)timer->data;
+        peer_set_tick (told->first->peers, true, true);
+        *told->second = true;
+      },
+      0.001, 0);
+  tick.data = &ctx;
+  ev_timer_start (loop.ev, &tick);
+  end->send_report (own);
+  std::this_thread::sleep_for (
+      std::chrono::microseconds (2 * PEER_SILENCE_US));
+  ASSERT_TRUE (wait ([&] { return ticked; }));
+  EXPECT_EQ (lost, peer_set_state (a->peers).lost);
+  EXPECT_EQ (1u, placement_accepting (a->placement, "s"));
+}
 }
