Send calls over links that have been heard, the newest first

Cause: of several links of a pair the one that the lower side has dialled carries new calls. A link that is still connecting, or has brought no report yet, could be that one; and of two links from the same lower side the older was chosen, though whoever opens a second has given up the first.

Evidence: two new tests failed before: with a link that A had dialled and that brought nothing, and a sound one dialled by the peer, the call went over the mute one; of two links of a peer with the lower id, it went over the older. The row of a higher id passed before.

A link takes part only once it was heard, and the newest of equals is taken.

--- a/src/edge/peer.c
+++ b/src/edge/peer.c
@@ -54,14 +54,16 @@
 }
 
 /* New calls go over the link that the lower of the two has dialled, if there
-   is one, so that both sides settle on the same.  */
+   is one, so that both sides settle on the same; over the newest of several,
+   and never over one that has brought no report.  */
 void
 peer_relink (peer_t *peer)
 {
   peer_link_t *best = NULL;
   for (peer_link_t *link = peer->peers->links; link != NULL; link = link->next)
-    if (link->peer == peer && !link->dead
-        && (best == NULL || dialled_by_lower (link)))
+    if (link->peer == peer && !link->dead && link->heard_us > 0
+        && (best == NULL
+            || (dialled_by_lower (link) && !dialled_by_lower (best))))
       best = link;
   bool was_up = peer->link != NULL;
   peer->link = best;
--- a/tests/mesh_cut_test.cc
+++ b/tests/mesh_cut_test.cc
@@ -347,4 +347,58 @@
   EXPECT_EQ (lost, peer_set_state (a->peers).lost);
   EXPECT_EQ (1u, placement_accepting (a->placement, "s"));
 }
+
+TEST_F (Played, CallsDoNotGoOverALinkThatHasBroughtNothingYet)
+{
+  listen (true);
+  std::unique_ptr<End> mute = accept ();
+  std::unique_ptr<End> sound = dial ();
+  sound->send_report (own);
+  ASSERT_TRUE (
+      wait ([&] { return placement_accepting (a->placement, "s") == 1; }));
+  Caller caller (http_server_port (a->callers));
+  caller.send (request ("POST", "/book/1", "id-1"));
+  ASSERT_TRUE (
+      wait ([&] { return sound->call () != 0 || mute->call () != 0; }));
+  EXPECT_EQ (0u, mute->call ());
+}
+
+struct TwiceRow
+{
+  const char *name;
+  bool above;
+};
+
+class Twice : public Played, public testing::WithParamInterface<TwiceRow>
+{
+};
+
+/* Who opens a link anew has given up the one before.  */
+TEST_P (Twice, CallsGoOverTheNewerOfTwoLinksThatThePeerOpened)
+{
+  listen (GetParam ().above);
+  std::unique_ptr<End> older = dial ();
+  older->send_report (own);
+  ASSERT_TRUE (
+      wait ([&] { return placement_accepting (a->placement, "s") == 1; }));
+  uint64_t frames = peer_set_state (a->peers).frames_in;
+  std::unique_ptr<End> newer = dial ();
+  newer->send_report (own);
+  ASSERT_TRUE (wait_for_reports (frames + 1));
+  Caller caller (http_server_port (a->callers));
+  caller.send (request ("POST", "/book/1", "id-1"));
+  ASSERT_TRUE (
+      wait ([&] { return older->call () != 0 || newer->call () != 0; }));
+  EXPECT_NE (0u, newer->call ());
+}
+
+const TwiceRow twice_rows[] = {
+  { "ByAHigherId", true },
+  { "ByALowerId", false },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, Twice, testing::ValuesIn (twice_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
 }
