Run timers after the sockets of their turn

Cause: libev runs the callbacks of a turn from the last fed to the first, and timers are fed after sockets. After a pause, or a turn that took long, all that is overdue by now is ended first, and only then what arrived in time is read: deadlines of requests, overdue runs, connects, heads and bodies of requests, idle connections.

Evidence: the new test failed before: the answer is in the link's socket, the loop is held past the deadline, the caller got "504 deadline-passed".

All timers get the least priority as they are first set. A turn takes a bounded number of sockets and bytes, so what decides over more than one request (a silent link) still looks at its socket itself.

--- a/src/edge/loop.c
+++ b/src/edge/loop.c
@@ -120,6 +120,8 @@
 void
 loop_timer (loop_t *loop, ev_timer *timer, int64_t after_us)
 {
+  if (!ev_is_active (timer) && !ev_is_pending (timer))
+    ev_set_priority (timer, EV_MINPRI);
   timer->repeat = after_us > 0 ? (double)after_us / US_PER_S : 1e-6;
   ev_timer_again (loop->ev, timer);
 }
--- a/src/edge/loop.h
+++ b/src/edge/loop.h
@@ -56,7 +56,9 @@
 /* Takes TASK back; its owner is going away.  */
 void loop_drop (loop_t *loop, loop_task_t *task);
 
-/* A timer in microseconds on libev's clock.  Restarts when it is active.  */
+/* A timer in microseconds on libev's clock.  Restarts when it is active.  It
+   fires after the sockets of its turn, so that what arrived in time is read
+   before it counts as overdue.  */
 void loop_timer (loop_t *loop, ev_timer *timer, int64_t after_us);
 
 /* A non-blocking listening socket, or -1 with *error set.  */
--- a/tests/mesh_cut_test.cc
+++ b/tests/mesh_cut_test.cc
@@ -348,6 +348,23 @@
   EXPECT_EQ (1u, placement_accepting (a->placement, "s"));
 }
 
+/* The loop comes late to both.  */
+TEST_F (Played, AnAnswerThatHasArrivedIsReadBeforeTheDeadlineIsJudged)
+{
+  listen (true);
+  std::unique_ptr<End> end = accept ();
+  end->send_report (own);
+  ASSERT_TRUE (
+      wait ([&] { return placement_accepting (a->placement, "s") == 1; }));
+  Caller caller (http_server_port (a->callers));
+  caller.send (request ("POST", "/book/1", "id-1"));
+  ASSERT_TRUE (wait ([&] { return end->call () != 0; }));
+  end->send_answer (end->call (), "booked");
+  std::this_thread::sleep_for (std::chrono::microseconds (2 * US_PER_S));
+  ASSERT_TRUE (wait ([&] { return caller.has ("\r\n\r\n"); }));
+  EXPECT_EQ (0u, caller.got.find ("HTTP/1.1 200")) << caller.got;
+}
+
 TEST_F (Played, CallsDoNotGoOverALinkThatHasBroughtNothingYet)
 {
   listen (true);
