Test links that are cut under requests

A table of what happens to a link (mute, mute one way, mute for good while a new one passes, reset, end of the other sidecar, another process in its place), how far the request was (queued, running, answer begun) and its kind (read, booking). Each request that was read whole is answered or refused by its deadline, a refusal that promises that it did not run is true, a booking runs once at most, and neither requests, calls, streams nor runs are left.

--- a/tests/mesh_cut_test.cc
+++ b/tests/mesh_cut_test.cc
@@ -3,6 +3,12 @@
 
 #include "support_edge.h"
 
+extern "C"
+{
+#include "edge/peer_impl.h"
+#include "support_relay.h"
+}
+
 #include <thread>
 
 namespace
@@ -418,4 +424,215 @@
                           [] (const auto &row) {
                             return std::string (row.param.name);
                           });
+
+/* --- links that are cut under requests ----------------------------------- */
+
+enum fault_t
+{
+  FAULT_MUTE,     /* nothing passes between the two */
+  FAULT_ONE_WAY,  /* nothing passes back to A */
+  FAULT_MUTE_OLD, /* the open link is mute, a new one passes */
+  FAULT_RESET,    /* the open link is reset */
+  FAULT_KILL,     /* B ends for good */
+  FAULT_RESTART,  /* B ends, another process takes its place */
+  FAULT_COUNT
+};
+const char *const fault_names[]
+    = { "Mute", "OneWay", "MuteOld", "Reset", "Kill", "Restart" };
+
+enum stage_t
+{
+  STAGE_QUEUED,
+  STAGE_RUNNING,
+  STAGE_ANSWERING,
+  STAGE_COUNT
+};
+const char *const stage_names[] = { "Queued", "Running", "Answering" };
+
+/* Fault, stage of the request, and whether it is a booking.  */
+typedef std::tuple<int, int, bool> cut_row_t;
+
+/* A reaches B through a relay.  */
+class Cut : public Two, public testing::WithParamInterface<cut_row_t>
+{
+protected:
+  relay_t *relay = nullptr;
+  uint16_t bind_port = 0;
+  ev_timer ticker;
+  ev_timer deadline;
+  int late = -1; /* requests that were open at their deadline */
+  std::unique_ptr<Caller> blocker;
+
+  void
+  SetUp () override
+  {
+    Two::SetUp ();
+    peer_set_remove (a->peers, peer_set_vm (b->peers));
+    b.reset ();
+    ASSERT_TRUE (wait ([&] { return peer_set_state (a->peers).up == 0; }));
+    error_info_t error = {};
+    int fd = loop_listen (loopback (), &error);
+    ASSERT_GE (fd, 0) << error.message;
+    struct sockaddr_in at = {};
+    socklen_t size = sizeof at;
+    getsockname (fd, (struct sockaddr *)&at, &size);
+    bind_port = ntohs (at.sin_port);
+    close (fd);
+    relay = relay_new (&loop, loopback (bind_port));
+    start_b_behind_the_relay (300);
+    peer_set_add (a->peers, peer_set_vm (b->peers));
+    ev_timer_init (&ticker, on_tick, 0, 0);
+    ticker.data = this;
+    loop_timer (&loop, &ticker, PEER_REPORT_US);
+    ev_timer_init (&deadline, on_deadline, 0, 0);
+    deadline.data = this;
+    ASSERT_TRUE (wait_for_server ());
+  }
+  void
+  TearDown () override
+  {
+    ev_timer_stop (loop.ev, &ticker);
+    ev_timer_stop (loop.ev, &deadline);
+    b.reset ();
+    relay_free (relay);
+    Two::TearDown ();
+  }
+  void
+  start_b_behind_the_relay (uint64_t incarnation)
+  {
+    b = std::make_unique<Sidecar> (&loop, &rng, &log, "s", backend->port (),
+                                   incarnation, relay_port (relay), bind_port);
+    b->set_backend ("i");
+  }
+  static void
+  on_tick (struct ev_loop *, ev_timer *timer, int)
+  {
+    Cut *self = (Cut *)timer->data;
+    peer_set_tick (self->a->peers, true, true);
+    if (self->b == nullptr)
+      return;
+    peer_set_tick (self->b->peers, true, true);
+    runner_tick (self->b->runner);
+  }
+  static void
+  on_deadline (struct ev_loop *ev, ev_timer *timer, int)
+  {
+    Cut *self = (Cut *)timer->data;
+    self->late = (int)entry_state (self->a->entry).open;
+    ev_timer_stop (ev, timer);
+  }
+  void
+  inject (int fault)
+  {
+    static const relay_fault_t faults[]
+        = { RELAY_MUTE, RELAY_ONE_WAY, RELAY_MUTE_OLD, RELAY_RESET };
+    if (fault < FAULT_KILL)
+      relay_set_fault (relay, faults[fault]);
+    else
+      b.reset ();
+    if (fault == FAULT_RESTART)
+      start_b_behind_the_relay (301);
+  }
+  size_t
+  runs_of (const std::string &id)
+  {
+    size_t count = 0;
+    for (const std::string &fields : backend->fields)
+      count
+          += fields.find ("X-Attempt-Id: " + id + "\r\n") != std::string::npos;
+    return count;
+  }
+  static bool
+  is_clear (const Sidecar *sidecar)
+  {
+    for (peer_link_t *link = sidecar->peers->links; link != nullptr;
+         link = link->next)
+      if (link->calls.count > 0 || link->streams.count > 0)
+        return false;
+    return entry_state (sidecar->entry).open == 0
+           && runner_open (sidecar->runner) == 0;
+  }
+  void
+  answer_all ()
+  {
+    backend->answer = [] (http_exchange_t *exchange) {
+      answer_signed (exchange, id_of (exchange), "done");
+    };
+    std::vector<http_exchange_t *> open;
+    open.swap (backend->open);
+    for (http_exchange_t *exchange : open)
+      if (exchange->answer == HTTP_ANSWER_BEGUN)
+        end_long (exchange);
+      else
+        backend->answer (exchange);
+  }
+  /* Brings the request to STAGE.  */
+  void
+  bring_to (int stage, Caller *caller, const std::string &text)
+  {
+    if (stage == STAGE_QUEUED)
+      {
+        intake_server_t server = { 1, true, false, false, 0, 0 };
+        runner_set_server (b->runner, &server, "i");
+        blocker = std::make_unique<Caller> (http_server_port (a->callers));
+        blocker->send (request ("GET", "/read/0", "id-0"));
+        ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+        caller->send (text);
+        ASSERT_TRUE (
+            wait ([&] { return runner_load (b->runner).queued == 1; }));
+        return;
+      }
+    caller->send (text);
+    ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+    if (stage != STAGE_ANSWERING)
+      return;
+    begin_long (backend->open[0], "id-1");
+    ASSERT_TRUE (wait ([&] { return caller->has ("xxx"); }));
+  }
+};
+
+TEST_P (Cut, EachRequestIsAnsweredOrTruthfullyRefused)
+{
+  const auto [fault, stage, booking] = GetParam ();
+  Caller caller (http_server_port (a->callers));
+  ASSERT_NO_FATAL_FAILURE (
+      bring_to (stage, &caller,
+                request (booking ? "POST" : "GET",
+                         booking ? "/book/1" : "/read/1", "id-1")));
+  loop_timer (&loop, &deadline, 2 * US_PER_S);
+  inject (fault);
+  answer_all ();
+  ASSERT_TRUE (
+      wait ([&] { return entry_state (a->entry).open == 0 || late >= 0; }));
+  EXPECT_LE (late, 0) << "requests are open at their deadline";
+  bool whole = false;
+  ASSERT_TRUE (wait ([&] {
+    caller.has ("");
+    whole = stage == STAGE_ANSWERING ? is_whole (caller.got)
+                                     : caller.has ("\r\n\r\n");
+    return whole || caller.ended;
+  })) << caller.got.size ();
+  /* What has begun can only be broken off.  */
+  EXPECT_TRUE (whole || stage == STAGE_ANSWERING);
+  std::string status = caller.got.substr (0, strlen ("HTTP/1.1 200"));
+  EXPECT_TRUE (status == "HTTP/1.1 200" || status == "HTTP/1.1 502"
+               || status == "HTTP/1.1 503" || status == "HTTP/1.1 504")
+      << caller.got;
+  EXPECT_TRUE (status != "HTTP/1.1 503" || runs_of ("id-1") == 0);
+  relay_set_fault (relay, RELAY_WELL);
+  EXPECT_TRUE (wait (
+      [&] { return is_clear (a.get ()) && (!b || is_clear (b.get ())); }));
+  EXPECT_LE (runs_of ("id-1"), booking ? 1u : 2u);
+  RecordProperty ("answer", status + (whole ? "" : ", broken off"));
+}
+
+INSTANTIATE_TEST_SUITE_P (
+    Table, Cut,
+    testing::Combine (testing::Range (0, (int)FAULT_COUNT),
+                      testing::Range (0, (int)STAGE_COUNT), testing::Bool ()),
+    [] (const auto &row) {
+      return std::string (fault_names[std::get<0> (row.param)])
+             + stage_names[std::get<1> (row.param)]
+             + (std::get<2> (row.param) ? "Booking" : "Read");
+    });
 }
--- a/tests/support_edge.h
+++ b/tests/support_edge.h
@@ -264,7 +264,7 @@
 
   Sidecar (loop_t *loop, const rng_t *rng, event_log_t *log,
            const char *service, uint16_t backend, uint64_t incarnation,
-           uint16_t port = 0)
+           uint16_t port = 0, uint16_t bind_port = 0)
       : loop (loop), service (service), incarnation (incarnation), log (log),
         rng (rng)
   {
@@ -284,7 +284,8 @@
     peer_handler_t on_peer
         = { make_report, on_report, on_down,     on_call, on_cancel,
             on_credit,   on_want,   on_document, this };
-    peers = peer_set_new (loop, loopback (port), {}, &on_peer, &error);
+    peers = peer_set_new (loop, loopback (port), loopback (bind_port),
+                          &on_peer, &error);
     EXPECT_NE (nullptr, peers) << error.message;
     entry_parts_t parts
         = { loop,      dialect, rng,     log,
