Test windows, long heads and a peer that leaves under an answer

An answer of 24 MiB whose caller does not read stops, and goes on when the caller reads, beside the server and over a link. A head of an answer that a link could not carry never gets there: the parser of the server's own sidecar fails it first (80 KiB against 128 KiB), and the caller gets a 502 at once. A peer that leaves the fleet still answers what it has begun.

--- a/tests/mesh_cut_test.cc
+++ b/tests/mesh_cut_test.cc
@@ -135,6 +135,101 @@
   EXPECT_EQ (2, slow.ended);
 }
 
+class Unread : public Two, public testing::WithParamInterface<LongRow>
+{
+};
+
+/* Windows and credits may stop an answer, but only until its caller reads.  */
+TEST_P (Unread, AnAnswerOfManyWindowsGoesOnWhenItsCallerReads)
+{
+  const LongRow &row = GetParam ();
+  if (row.beside)
+    start_a_beside_the_server ();
+  Caller caller (http_server_port (a->callers));
+  caller.send (request (row.method, row.path, "id-1"));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  std::string fields = "X-Attempt-Id: id-1\r\nX-Server-Signature: s\r\n";
+  std::string body (24 * 1024 * 1024, 'x');
+  http_begin (backend->open[0], 200, fields.data (), fields.size (),
+              (int64_t)body.size ());
+  http_piece (backend->open[0], body.data (), body.size ());
+  size_t unread = body.size ();
+  int turns = 0; /* since the server could last send */
+  ASSERT_TRUE (wait ([&] {
+    size_t now = http_unread (backend->open[0]);
+    turns = now == unread ? turns + 1 : 0;
+    unread = now;
+    return turns > 10;
+  }));
+  ASSERT_GT (unread, 0u);
+  http_end (backend->open[0]);
+  size_t head = 0;
+  EXPECT_TRUE (wait ([&] {
+    caller.has ("");
+    head = caller.got.find ("\r\n\r\n") + 4;
+    return caller.ended || caller.got.size () == head + body.size ();
+  }));
+  EXPECT_EQ (head + body.size (), caller.got.size ());
+  EXPECT_TRUE (wait ([&] { return runner_open (b->runner) == 0; }));
+}
+
+INSTANTIATE_TEST_SUITE_P (Table, Unread, testing::ValuesIn (long_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+
+TEST_F (Two, AnAnswerComesFromASidecarThatHasLeftTheFleet)
+{
+  Caller caller (http_server_port (a->callers));
+  caller.send (request ("POST", "/book/1", "id-1"));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  peer_set_remove (a->peers, peer_set_vm (b->peers));
+  peer_set_tick (a->peers, true, true);
+  answer_signed (backend->open[0], "id-1", "booked");
+  backend->open.clear ();
+  EXPECT_TRUE (wait ([&] { return caller.has ("booked"); }));
+}
+
+struct HeadRow
+{
+  const char *name;
+  size_t field_bytes; /* of each */
+  size_t fields;
+  const char *status;
+};
+
+class Head : public Two, public testing::WithParamInterface<HeadRow>
+{
+};
+
+/* What a link cannot carry is refused by the server's own sidecar.  */
+TEST_P (Head, AnAnswerWithALongHeadIsPassedOnOrFailsAtOnce)
+{
+  const HeadRow &row = GetParam ();
+  std::string fields = "X-Attempt-Id: id-1\r\nX-Server-Signature: s\r\n";
+  for (size_t i = 0; i < row.fields; i++)
+    fields += "A:" + std::string (row.field_bytes, 'x') + "\r\n";
+  Caller caller (http_server_port (a->callers));
+  caller.send (request ("POST", "/book/1", "id-1"));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  http_respond (backend->open[0], 200, fields.data (), fields.size (), "x", 1);
+  backend->open.clear ();
+  ASSERT_TRUE (wait ([&] { return caller.has ("\r\n\r\n"); }));
+  EXPECT_EQ (row.status, caller.got.substr (0, strlen ("HTTP/1.1 200")));
+}
+
+const HeadRow head_rows[] = {
+  { "SmallFields", 1, 15000, "HTTP/1.1 200" },
+  { "OneLargeField", 75000, 1, "HTTP/1.1 200" },
+  { "TooManyFields", 1, 20000, "HTTP/1.1 502" },
+  { "TooLargeAField", 140000, 1, "HTTP/1.1 502" },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, Head, testing::ValuesIn (head_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+
 /* --- links, with a sidecar of the test's own at the other end -------------
  */
 
