--- a/src/edge/peer.c
+++ b/src/edge/peer.c
@@ -54,14 +54,16 @@
 }
 
 /* New calls go over the link that the lower of the two has dialled, if there
-   is one, so that both sides settle on the same.  */
+   is one, so that both sides settle on the same; over the newest of several,
+   and never over one that has brought no report.  */
 void
 peer_relink (peer_t *peer)
 {
   peer_link_t *best = NULL;
   for (peer_link_t *link = peer->peers->links; link != NULL; link = link->next)
-    if (link->peer == peer && !link->dead
-        && (best == NULL || dialled_by_lower (link)))
+    if (link->peer == peer && !link->dead && link->heard_us > 0
+        && (best == NULL
+            || (dialled_by_lower (link) && !dialled_by_lower (best))))
       best = link;
   bool was_up = peer->link != NULL;
   peer->link = best;
@@ -133,13 +135,23 @@
          && link->peers->loop->now_us - link->opened_us > PEER_SILENCE_US;
 }
 
+static bool
+is_silent (const peer_link_t *link)
+{
+  int64_t now_us = link->peers->loop->now_us;
+  return link->heard_us == 0 ? now_us - link->opened_us > CONNECT_US
+                             : now_us - link->heard_us > PEER_SILENCE_US;
+}
+
 static void
 check_link (peer_link_t *link)
 {
-  int64_t now_us = link->peers->loop->now_us;
-  bool opening = link->heard_us == 0;
-  if (opening ? now_us - link->opened_us > CONNECT_US
-              : now_us - link->heard_us > PEER_SILENCE_US)
+  /* The loop may come late to what has arrived in time.  */
+  if (is_silent (link) && !link->connecting)
+    link_read (link);
+  if (link->dead)
+    return;
+  if (is_silent (link))
     link_close (link);
   else if (is_spare (link))
     link_close (link);
--- /dev/null
+++ b/tests/mesh_cut_test.cc
@@ -0,0 +1,733 @@
+/* Answers that end early, and links between sidecars that are cut: each
+   request that was read whole is answered or truthfully refused.  */
+
+#include "support_edge.h"
+
+extern "C"
+{
+#include "edge/peer_impl.h"
+#include "support_relay.h"
+}
+
+#include <thread>
+
+namespace
+{
+const size_t LONG_BYTES = 200000; /* handed on before the answer is whole */
+
+void
+begin_long (http_exchange_t *exchange, const std::string &id)
+{
+  std::string fields = "X-Attempt-Id: " + id + "\r\nX-Server-Signature: s\r\n";
+  http_begin (exchange, 200, fields.data (), fields.size (),
+              (int64_t)LONG_BYTES);
+  std::string half (LONG_BYTES / 2, 'x');
+  http_piece (exchange, half.data (), half.size ());
+}
+
+void
+end_long (http_exchange_t *exchange)
+{
+  std::string half (LONG_BYTES / 2, 'y');
+  http_piece (exchange, half.data (), half.size ());
+  http_end (exchange);
+}
+
+bool
+is_whole (const std::string &answer)
+{
+  size_t head = answer.find ("\r\n\r\n");
+  return answer.find ("HTTP/1.1 200") == 0 && head != std::string::npos
+         && answer.size () == head + 4 + LONG_BYTES;
+}
+
+/* --- answers that take long ---------------------------------------------- */
+
+struct LongRow
+{
+  const char *name;
+  bool beside; /* callers enter beside the server, else at another sidecar */
+  const char *method;
+  const char *path;
+};
+
+class Long : public Two, public testing::WithParamInterface<LongRow>
+{
+};
+
+/* Another server may be tried for a read that is not answered in a multiple
+   of its route's mean, but not once its answer has begun.  */
+TEST_P (Long, AnAnswerThatHasBegunMayTakeUntilTheDeadline)
+{
+  const LongRow &row = GetParam ();
+  if (row.beside)
+    start_a_beside_the_server ();
+  backend->answer = [] (http_exchange_t *exchange) {
+    answer_signed (exchange, id_of (exchange), "short");
+  };
+  Caller caller (http_server_port (a->callers));
+  caller.send (request (row.method, row.path, "id-1"));
+  ASSERT_TRUE (wait ([&] { return caller.has ("short"); }));
+  caller.got.clear ();
+  backend->answer = nullptr;
+  caller.send (request (row.method, row.path, "id-2"));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  begin_long (backend->open[0], "id-2");
+  int64_t begun_us = loop.now_us;
+  ASSERT_TRUE (
+      wait ([&] { return loop.now_us > begun_us + 600 * US_PER_MS; }));
+  ASSERT_EQ (1u, backend->open.size ());
+  EXPECT_FALSE (caller.is_over ());
+  end_long (backend->open[0]);
+  EXPECT_TRUE (
+      wait ([&] { return caller.is_over () || is_whole (caller.got); }));
+  EXPECT_TRUE (is_whole (caller.got));
+  EXPECT_EQ (2u, entry_state (a->entry).ends[ENTRY_ANSWERED]);
+}
+
+const LongRow long_rows[] = {
+  { "ReadAtAnotherSidecar", false, "GET", "/read/1" },
+  { "ReadBesideTheServer", true, "GET", "/read/1" },
+  { "BookingAtAnotherSidecar", false, "POST", "/book/1" },
+  { "BookingBesideTheServer", true, "POST", "/book/1" },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, Long, testing::ValuesIn (long_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+
+/* --- answers that outrun their caller ------------------------------------ */
+
+/* The last bytes of an answer may be what fills the window.  */
+TEST_F (Runs, AConnectionThatWasPausedAtTheEndOfAnAnswerIsReadAgain)
+{
+  struct Slow
+  {
+    run_t *run = nullptr;
+    int ended = 0;
+  } slow;
+  sink = { [] (void *, const call_reply_t *, const char *, size_t, bool) {},
+           [] (void *ctx, const char *, size_t, bool last) {
+             Slow *self = (Slow *)ctx;
+             self->ended += last;
+             if (!last)
+               run_pause (self->run, true);
+           },
+           [] (void *, const call_failure_t *) {}, &slow };
+  slow.run = start (call ("id-1", true));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  answer_signed (backend->open[0], "id-1", std::string (40000, 'x'));
+  backend->open.clear ();
+  ASSERT_TRUE (wait ([&] { return slow.ended == 1; }));
+
+  sink = { [] (void *ctx, const call_reply_t *, const char *, size_t,
+               bool last) { ((Slow *)ctx)->ended += last; },
+           [] (void *, const char *, size_t, bool) {},
+           [] (void *ctx, const call_failure_t *) {
+             ((Slow *)ctx)->ended = -9;
+           },
+           &slow };
+  start (call ("id-2", true));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  answer_signed (backend->open[0], "id-2", "short");
+  EXPECT_TRUE (wait ([&] { return slow.ended != 1; }));
+  EXPECT_EQ (2, slow.ended);
+}
+
+class Unread : public Two, public testing::WithParamInterface<LongRow>
+{
+};
+
+/* Windows and credits may stop an answer, but only until its caller reads.  */
+TEST_P (Unread, AnAnswerOfManyWindowsGoesOnWhenItsCallerReads)
+{
+  const LongRow &row = GetParam ();
+  if (row.beside)
+    start_a_beside_the_server ();
+  Caller caller (http_server_port (a->callers));
+  caller.send (request (row.method, row.path, "id-1"));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  std::string fields = "X-Attempt-Id: id-1\r\nX-Server-Signature: s\r\n";
+  std::string body (24 * 1024 * 1024, 'x');
+  http_begin (backend->open[0], 200, fields.data (), fields.size (),
+              (int64_t)body.size ());
+  http_piece (backend->open[0], body.data (), body.size ());
+  size_t unread = body.size ();
+  int turns = 0; /* since the server could last send */
+  ASSERT_TRUE (wait ([&] {
+    size_t now = http_unread (backend->open[0]);
+    turns = now == unread ? turns + 1 : 0;
+    unread = now;
+    return turns > 10;
+  }));
+  ASSERT_GT (unread, 0u);
+  http_end (backend->open[0]);
+  size_t head = 0;
+  EXPECT_TRUE (wait ([&] {
+    caller.has ("");
+    head = caller.got.find ("\r\n\r\n") + 4;
+    return caller.ended || caller.got.size () == head + body.size ();
+  }));
+  EXPECT_EQ (head + body.size (), caller.got.size ());
+  EXPECT_TRUE (wait ([&] { return runner_open (b->runner) == 0; }));
+}
+
+INSTANTIATE_TEST_SUITE_P (Table, Unread, testing::ValuesIn (long_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+
+TEST_F (Two, AnAnswerComesFromASidecarThatHasLeftTheFleet)
+{
+  Caller caller (http_server_port (a->callers));
+  caller.send (request ("POST", "/book/1", "id-1"));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  peer_set_remove (a->peers, peer_set_vm (b->peers));
+  peer_set_tick (a->peers, true, true);
+  answer_signed (backend->open[0], "id-1", "booked");
+  backend->open.clear ();
+  EXPECT_TRUE (wait ([&] { return caller.has ("booked"); }));
+}
+
+struct HeadRow
+{
+  const char *name;
+  size_t field_bytes; /* of each */
+  size_t fields;
+  const char *status;
+};
+
+class Head : public Two, public testing::WithParamInterface<HeadRow>
+{
+};
+
+/* What a link cannot carry is refused by the server's own sidecar.  */
+TEST_P (Head, AnAnswerWithALongHeadIsPassedOnOrFailsAtOnce)
+{
+  const HeadRow &row = GetParam ();
+  std::string fields = "X-Attempt-Id: id-1\r\nX-Server-Signature: s\r\n";
+  for (size_t i = 0; i < row.fields; i++)
+    fields += "A:" + std::string (row.field_bytes, 'x') + "\r\n";
+  Caller caller (http_server_port (a->callers));
+  caller.send (request ("POST", "/book/1", "id-1"));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  http_respond (backend->open[0], 200, fields.data (), fields.size (), "x", 1);
+  backend->open.clear ();
+  ASSERT_TRUE (wait ([&] { return caller.has ("\r\n\r\n"); }));
+  EXPECT_EQ (row.status, caller.got.substr (0, strlen ("HTTP/1.1 200")));
+}
+
+const HeadRow head_rows[] = {
+  { "SmallFields", 1, 15000, "HTTP/1.1 200" },
+  { "OneLargeField", 75000, 1, "HTTP/1.1 200" },
+  { "TooManyFields", 1, 20000, "HTTP/1.1 502" },
+  { "TooLargeAField", 140000, 1, "HTTP/1.1 502" },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, Head, testing::ValuesIn (head_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+
+/* --- links, with a sidecar of the test's own at the other end -------------
+ */
+
+std::string
+frame_of (mesh_kind kind, xdrproc_t encode, void *value)
+{
+  char block[4096];
+  XDR xdr;
+  xdrmem_create (&xdr, block, sizeof block, XDR_ENCODE);
+  EXPECT_TRUE (encode (&xdr, value));
+  uint32_t head[] = { htonl (xdr_getpos (&xdr)), htonl ((uint32_t)kind) };
+  return std::string ((char *)head, sizeof head)
+         + std::string (block, xdr_getpos (&xdr));
+}
+
+/* One end of a link.  */
+struct End
+{
+  int fd;
+  std::string got;
+
+  explicit End (int fd) : fd (fd) { fcntl (fd, F_SETFL, O_NONBLOCK); }
+  ~End ()
+  {
+    if (fd >= 0)
+      close (fd);
+  }
+  void
+  send (const std::string &frame)
+  {
+    EXPECT_EQ ((ssize_t)frame.size (),
+               ::send (fd, frame.data (), frame.size (), MSG_NOSIGNAL));
+  }
+  void
+  send_report (vm_id_t vm)
+  {
+    mesh_identity identity = {};
+    identity.vm = vm;
+    identity.incarnation = 300;
+    identity.service = (char *)"s";
+    identity.zone = (char *)"z";
+    identity.server = (char *)"i";
+    identity.accepting = 1;
+    identity.slots = 10;
+    mesh_report report = {};
+    report.identity = &identity;
+    send (frame_of (MESH_REPORT, (xdrproc_t)xdr_mesh_report, &report));
+  }
+  void
+  send_answer (uint64_t stream, const char *body)
+  {
+    char fields[] = "X-Server-Signature: s\r\n";
+    mesh_reply reply = {};
+    reply.stream = stream;
+    reply.status = 200;
+    reply.last = 1;
+    reply.length = (int64_t)strlen (body);
+    reply.fields = { (u_int)strlen (fields), fields };
+    reply.body = { (u_int)strlen (body), (char *)body };
+    send (frame_of (MESH_REPLY, (xdrproc_t)xdr_mesh_reply, &reply));
+  }
+  void
+  reset ()
+  {
+    struct linger now = { 1, 0 };
+    setsockopt (fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    close (fd);
+    fd = -1;
+  }
+  /* The stream of the first call that has come, or 0.  */
+  uint64_t
+  call ()
+  {
+    char block[4096];
+    ssize_t size;
+    while ((size = recv (fd, block, sizeof block, 0)) > 0)
+      got.append (block, (size_t)size);
+    uint32_t head[2];
+    for (size_t at = 0; at + sizeof head <= got.size ();
+         at += sizeof head + ntohl (head[0]))
+      {
+        memcpy (head, got.data () + at, sizeof head);
+        if (ntohl (head[1]) != MESH_CALL
+            || at + sizeof head + ntohl (head[0]) > got.size ())
+          continue;
+        mesh_call call = {};
+        XDR xdr;
+        xdrmem_create (&xdr, &got[at + sizeof head], ntohl (head[0]),
+                       XDR_DECODE);
+        EXPECT_TRUE (xdr_mesh_call (&xdr, &call));
+        uint64_t stream = call.stream;
+        xdr_free ((xdrproc_t)xdr_mesh_call, (char *)&call);
+        return stream;
+      }
+    return 0;
+  }
+};
+
+/* Callers enter at A, whose one peer is played by the test.  */
+class Played : public Two
+{
+protected:
+  int listener = -1;
+  vm_id_t own = 0;
+
+  void
+  SetUp () override
+  {
+    Two::SetUp ();
+    peer_set_remove (a->peers, peer_set_vm (b->peers));
+    b.reset ();
+    ASSERT_TRUE (wait ([&] { return peer_set_state (a->peers).up == 0; }));
+  }
+  void
+  TearDown () override
+  {
+    if (listener >= 0)
+      close (listener);
+    Two::TearDown ();
+  }
+  /* Gives the peer an id above that of A, or below it.  */
+  void
+  listen (bool above)
+  {
+    std::vector<int> others;
+    do
+      {
+        error_info_t error = {};
+        if (listener >= 0)
+          others.push_back (listener);
+        listener = loop_listen (loopback (), &error);
+        ASSERT_GE (listener, 0) << error.message;
+        struct sockaddr_in at = {};
+        socklen_t size = sizeof at;
+        getsockname (listener, (struct sockaddr *)&at, &size);
+        own = vm_id_make (INADDR_LOOPBACK, ntohs (at.sin_port));
+      }
+    while ((own > peer_set_vm (a->peers)) != above);
+    for (int fd : others)
+      close (fd);
+  }
+  /* A link that A has opened.  */
+  std::unique_ptr<End>
+  accept ()
+  {
+    int fd = -1;
+    peer_set_add (a->peers, own);
+    EXPECT_TRUE (wait ([&] {
+      peer_set_tick (a->peers, true, true);
+      fd = fd < 0 ? ::accept (listener, nullptr, nullptr) : fd;
+      return fd >= 0;
+    }));
+    return std::make_unique<End> (fd);
+  }
+  /* A link to A.  */
+  std::unique_ptr<End>
+  dial ()
+  {
+    struct sockaddr_in to
+        = loop_sockaddr (loopback (vm_id_port (peer_set_vm (a->peers))));
+    int fd = socket (AF_INET, SOCK_STREAM, 0);
+    EXPECT_EQ (0, connect (fd, (struct sockaddr *)&to, sizeof to));
+    return std::make_unique<End> (fd);
+  }
+  bool
+  wait_for_reports (uint64_t frames)
+  {
+    return wait (
+        [&] { return peer_set_state (a->peers).frames_in >= frames; });
+  }
+};
+
+TEST_F (Played, AnAnswerThatHasArrivedIsNotLostWithAFailedSend)
+{
+  listen (true);
+  std::unique_ptr<End> end = accept ();
+  end->send_report (own);
+  ASSERT_TRUE (
+      wait ([&] { return placement_accepting (a->placement, "s") == 1; }));
+  Caller caller (http_server_port (a->callers));
+  caller.send (request ("POST", "/book/1", "id-1"));
+  ASSERT_TRUE (wait ([&] { return end->call () != 0; }));
+  end->send_answer (end->call (), "booked");
+  end->reset ();
+  peer_set_report (a->peers, true, true);
+  ASSERT_TRUE (wait ([&] { return caller.has ("\r\n\r\n"); }));
+  EXPECT_EQ (0u, caller.got.find ("HTTP/1.1 200")) << caller.got;
+}
+
+/* After a pause of the VM, for one.  */
+TEST_F (Played, ALinkWhoseReportHasArrivedIsNotSilent)
+{
+  listen (true);
+  std::unique_ptr<End> end = accept ();
+  end->send_report (own);
+  ASSERT_TRUE (
+      wait ([&] { return placement_accepting (a->placement, "s") == 1; }));
+  uint64_t lost = peer_set_state (a->peers).lost;
+  bool ticked = false;
+  std::pair<Sidecar *, bool *> ctx = { a.get (), &ticked };
+  ev_timer tick;
+  ev_timer_init (
+      &tick,
+      [] (struct ev_loop *, ev_timer *timer, int) {
+        auto *told = (std::pair<Sidecar *, bool *> *)timer->data;
+        peer_set_tick (told->first->peers, true, true);
+        *told->second = true;
+      },
+      0.001, 0);
+  tick.data = &ctx;
+  ev_timer_start (loop.ev, &tick);
+  end->send_report (own);
+  std::this_thread::sleep_for (
+      std::chrono::microseconds (2 * PEER_SILENCE_US));
+  ASSERT_TRUE (wait ([&] { return ticked; }));
+  EXPECT_EQ (lost, peer_set_state (a->peers).lost);
+  EXPECT_EQ (1u, placement_accepting (a->placement, "s"));
+}
+
+/* The loop comes late to both.  */
+TEST_F (Played, AnAnswerThatHasArrivedIsReadBeforeTheDeadlineIsJudged)
+{
+  listen (true);
+  std::unique_ptr<End> end = accept ();
+  end->send_report (own);
+  ASSERT_TRUE (
+      wait ([&] { return placement_accepting (a->placement, "s") == 1; }));
+  Caller caller (http_server_port (a->callers));
+  caller.send (request ("POST", "/book/1", "id-1"));
+  ASSERT_TRUE (wait ([&] { return end->call () != 0; }));
+  end->send_answer (end->call (), "booked");
+  std::this_thread::sleep_for (std::chrono::microseconds (2 * US_PER_S));
+  ASSERT_TRUE (wait ([&] { return caller.has ("\r\n\r\n"); }));
+  EXPECT_EQ (0u, caller.got.find ("HTTP/1.1 200")) << caller.got;
+}
+
+TEST_F (Played, CallsDoNotGoOverALinkThatHasBroughtNothingYet)
+{
+  listen (true);
+  std::unique_ptr<End> mute = accept ();
+  std::unique_ptr<End> sound = dial ();
+  sound->send_report (own);
+  ASSERT_TRUE (
+      wait ([&] { return placement_accepting (a->placement, "s") == 1; }));
+  Caller caller (http_server_port (a->callers));
+  caller.send (request ("POST", "/book/1", "id-1"));
+  ASSERT_TRUE (
+      wait ([&] { return sound->call () != 0 || mute->call () != 0; }));
+  EXPECT_EQ (0u, mute->call ());
+}
+
+struct TwiceRow
+{
+  const char *name;
+  bool above;
+};
+
+class Twice : public Played, public testing::WithParamInterface<TwiceRow>
+{
+};
+
+/* Who opens a link anew has given up the one before.  */
+TEST_P (Twice, CallsGoOverTheNewerOfTwoLinksThatThePeerOpened)
+{
+  listen (GetParam ().above);
+  std::unique_ptr<End> older = dial ();
+  older->send_report (own);
+  ASSERT_TRUE (
+      wait ([&] { return placement_accepting (a->placement, "s") == 1; }));
+  uint64_t frames = peer_set_state (a->peers).frames_in;
+  std::unique_ptr<End> newer = dial ();
+  newer->send_report (own);
+  ASSERT_TRUE (wait_for_reports (frames + 1));
+  Caller caller (http_server_port (a->callers));
+  caller.send (request ("POST", "/book/1", "id-1"));
+  ASSERT_TRUE (
+      wait ([&] { return older->call () != 0 || newer->call () != 0; }));
+  EXPECT_NE (0u, newer->call ());
+}
+
+const TwiceRow twice_rows[] = {
+  { "ByAHigherId", true },
+  { "ByALowerId", false },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, Twice, testing::ValuesIn (twice_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+
+/* --- links that are cut under requests ----------------------------------- */
+
+enum fault_t
+{
+  FAULT_MUTE,     /* nothing passes between the two */
+  FAULT_ONE_WAY,  /* nothing passes back to A */
+  FAULT_MUTE_OLD, /* the open link is mute, a new one passes */
+  FAULT_RESET,    /* the open link is reset */
+  FAULT_KILL,     /* B ends for good */
+  FAULT_RESTART,  /* B ends, another process takes its place */
+  FAULT_COUNT
+};
+const char *const fault_names[]
+    = { "Mute", "OneWay", "MuteOld", "Reset", "Kill", "Restart" };
+
+enum stage_t
+{
+  STAGE_QUEUED,
+  STAGE_RUNNING,
+  STAGE_ANSWERING,
+  STAGE_COUNT
+};
+const char *const stage_names[] = { "Queued", "Running", "Answering" };
+
+/* Fault, stage of the request, and whether it is a booking.  */
+typedef std::tuple<int, int, bool> cut_row_t;
+
+/* A reaches B through a relay.  */
+class Cut : public Two, public testing::WithParamInterface<cut_row_t>
+{
+protected:
+  relay_t *relay = nullptr;
+  uint16_t bind_port = 0;
+  ev_timer ticker;
+  ev_timer deadline;
+  int late = -1; /* requests that were open at their deadline */
+  std::unique_ptr<Caller> blocker;
+
+  void
+  SetUp () override
+  {
+    Two::SetUp ();
+    peer_set_remove (a->peers, peer_set_vm (b->peers));
+    b.reset ();
+    ASSERT_TRUE (wait ([&] { return peer_set_state (a->peers).up == 0; }));
+    error_info_t error = {};
+    int fd = loop_listen (loopback (), &error);
+    ASSERT_GE (fd, 0) << error.message;
+    struct sockaddr_in at = {};
+    socklen_t size = sizeof at;
+    getsockname (fd, (struct sockaddr *)&at, &size);
+    bind_port = ntohs (at.sin_port);
+    close (fd);
+    relay = relay_new (&loop, loopback (bind_port));
+    start_b_behind_the_relay (300);
+    peer_set_add (a->peers, peer_set_vm (b->peers));
+    ev_timer_init (&ticker, on_tick, 0, 0);
+    ticker.data = this;
+    loop_timer (&loop, &ticker, PEER_REPORT_US);
+    ev_timer_init (&deadline, on_deadline, 0, 0);
+    deadline.data = this;
+    ASSERT_TRUE (wait_for_server ());
+  }
+  void
+  TearDown () override
+  {
+    ev_timer_stop (loop.ev, &ticker);
+    ev_timer_stop (loop.ev, &deadline);
+    b.reset ();
+    relay_free (relay);
+    Two::TearDown ();
+  }
+  void
+  start_b_behind_the_relay (uint64_t incarnation)
+  {
+    b = std::make_unique<Sidecar> (&loop, &rng, &log, "s", backend->port (),
+                                   incarnation, relay_port (relay), bind_port);
+    b->set_backend ("i");
+  }
+  static void
+  on_tick (struct ev_loop *, ev_timer *timer, int)
+  {
+    Cut *self = (Cut *)timer->data;
+    peer_set_tick (self->a->peers, true, true);
+    if (self->b == nullptr)
+      return;
+    peer_set_tick (self->b->peers, true, true);
+    runner_tick (self->b->runner);
+  }
+  static void
+  on_deadline (struct ev_loop *ev, ev_timer *timer, int)
+  {
+    Cut *self = (Cut *)timer->data;
+    self->late = (int)entry_state (self->a->entry).open;
+    ev_timer_stop (ev, timer);
+  }
+  void
+  inject (int fault)
+  {
+    static const relay_fault_t faults[]
+        = { RELAY_MUTE, RELAY_ONE_WAY, RELAY_MUTE_OLD, RELAY_RESET };
+    if (fault < FAULT_KILL)
+      relay_set_fault (relay, faults[fault]);
+    else
+      b.reset ();
+    if (fault == FAULT_RESTART)
+      start_b_behind_the_relay (301);
+  }
+  size_t
+  runs_of (const std::string &id)
+  {
+    size_t count = 0;
+    for (const std::string &fields : backend->fields)
+      count
+          += fields.find ("X-Attempt-Id: " + id + "\r\n") != std::string::npos;
+    return count;
+  }
+  static bool
+  is_clear (const Sidecar *sidecar)
+  {
+    for (peer_link_t *link = sidecar->peers->links; link != nullptr;
+         link = link->next)
+      if (link->calls.count > 0 || link->streams.count > 0)
+        return false;
+    return entry_state (sidecar->entry).open == 0
+           && runner_open (sidecar->runner) == 0;
+  }
+  void
+  answer_all ()
+  {
+    backend->answer = [] (http_exchange_t *exchange) {
+      answer_signed (exchange, id_of (exchange), "done");
+    };
+    std::vector<http_exchange_t *> open;
+    open.swap (backend->open);
+    for (http_exchange_t *exchange : open)
+      if (exchange->answer == HTTP_ANSWER_BEGUN)
+        end_long (exchange);
+      else
+        backend->answer (exchange);
+  }
+  /* Brings the request to STAGE.  */
+  void
+  bring_to (int stage, Caller *caller, const std::string &text)
+  {
+    if (stage == STAGE_QUEUED)
+      {
+        intake_server_t server = { 1, true, false, false, 0, 0 };
+        runner_set_server (b->runner, &server, "i");
+        blocker = std::make_unique<Caller> (http_server_port (a->callers));
+        blocker->send (request ("GET", "/read/0", "id-0"));
+        ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+        caller->send (text);
+        ASSERT_TRUE (
+            wait ([&] { return runner_load (b->runner).queued == 1; }));
+        return;
+      }
+    caller->send (text);
+    ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+    if (stage != STAGE_ANSWERING)
+      return;
+    begin_long (backend->open[0], "id-1");
+    ASSERT_TRUE (wait ([&] { return caller->has ("xxx"); }));
+  }
+};
+
+TEST_P (Cut, EachRequestIsAnsweredOrTruthfullyRefused)
+{
+  const auto [fault, stage, booking] = GetParam ();
+  Caller caller (http_server_port (a->callers));
+  ASSERT_NO_FATAL_FAILURE (
+      bring_to (stage, &caller,
+                request (booking ? "POST" : "GET",
+                         booking ? "/book/1" : "/read/1", "id-1")));
+  loop_timer (&loop, &deadline, 2 * US_PER_S);
+  inject (fault);
+  answer_all ();
+  ASSERT_TRUE (
+      wait ([&] { return entry_state (a->entry).open == 0 || late >= 0; }));
+  EXPECT_LE (late, 0) << "requests are open at their deadline";
+  bool whole = false;
+  ASSERT_TRUE (wait ([&] {
+    caller.has ("");
+    whole = stage == STAGE_ANSWERING ? is_whole (caller.got)
+                                     : caller.has ("\r\n\r\n");
+    return whole || caller.ended;
+  })) << caller.got.size ();
+  /* What has begun can only be broken off.  */
+  EXPECT_TRUE (whole || stage == STAGE_ANSWERING);
+  std::string status = caller.got.substr (0, strlen ("HTTP/1.1 200"));
+  EXPECT_TRUE (status == "HTTP/1.1 200" || status == "HTTP/1.1 502"
+               || status == "HTTP/1.1 503" || status == "HTTP/1.1 504")
+      << caller.got;
+  EXPECT_TRUE (status != "HTTP/1.1 503" || runs_of ("id-1") == 0);
+  relay_set_fault (relay, RELAY_WELL);
+  EXPECT_TRUE (wait (
+      [&] { return is_clear (a.get ()) && (!b || is_clear (b.get ())); }));
+  EXPECT_LE (runs_of ("id-1"), booking ? 1u : 2u);
+  RecordProperty ("answer", status + (whole ? "" : ", broken off"));
+}
+
+INSTANTIATE_TEST_SUITE_P (
+    Table, Cut,
+    testing::Combine (testing::Range (0, (int)FAULT_COUNT),
+                      testing::Range (0, (int)STAGE_COUNT), testing::Bool ()),
+    [] (const auto &row) {
+      return std::string (fault_names[std::get<0> (row.param)])
+             + stage_names[std::get<1> (row.param)]
+             + (std::get<2> (row.param) ? "Booking" : "Read");
+    });
+}
