Replace a kept connection that ended before its request went out

What callers saw: a booking answered 502, outcome unknown, although no byte of it had been sent.

Cause: a request was put on the newest idle connection without a look at it. When the server had closed or reset it, and the loop had not read that yet, the request went into a dead socket, or the end of the connection was read in the same turn, before the request was written. Both counted as "ended behind the request"; for a booking that is an outcome that nobody knows. A send that failed with nothing sent counted the same. Bytes that lay unread on an idle connection were taken for the answer to a request that had not been sent: with the right id it went to the caller as its answer.

Ruled out: a request without any answer.

Change: before the first byte goes out on a kept connection, it must be open with nothing to read; else the call gets a new connection in its place. The same follows when its end is read, or the send fails, with nothing sent. On a new connection, an end with nothing sent is a failed connect. A counter tells how often: backend_connections_replaced_total.

Why it works: what was never written cannot have reached the server, so even a booking may go out. Once one byte has gone out nothing changes: bookings are not sent again. An end that the server gives no notice of shows only behind the request and stays an unknown outcome.

--- a/src/edge/http_client.c
+++ b/src/edge/http_client.c
@@ -141,16 +141,20 @@
     handler.fault (handler.ctx, fault);
 }
 
-/* The connection has ended under a call or while idle.  */
+static void connection_replace (http_call_t *call);
+
+/* The connection has ended under a call.  */
 static void
 call_lost (http_call_t *call)
 {
-  http_fault_t fault = HTTP_FAULT_CUT;
-  if (call->connecting)
-    fault = HTTP_FAULT_CONNECT;
+  if (call->reused && !call->sent)
+    connection_replace (call);
+  else if (!call->sent)
+    call_fault (call, HTTP_FAULT_CONNECT);
   else if (call->reused && !call->answered)
-    fault = HTTP_FAULT_STALE;
-  call_fault (call, fault);
+    call_fault (call, HTTP_FAULT_STALE);
+  else
+    call_fault (call, HTTP_FAULT_CUT);
 }
 
 /* --- parsing the answer ------------------------------------------------ */
@@ -334,7 +338,7 @@
       call_close (call);
       return;
     }
-  if (size > 0)
+  if (size > 0 && call->sent)
     {
       call->answered = true;
       parse (call, client->block, (size_t)size);
@@ -349,12 +353,25 @@
 
 /* --- sending ----------------------------------------------------------- */
 
+/* Whether a kept connection is still open, and nothing has come on it.  */
+static bool
+is_quiet (const http_call_t *call)
+{
+  char byte;
+  return recv (call->reader.fd, &byte, 1, MSG_PEEK) < 0 && errno == EAGAIN;
+}
+
 static void
 call_flush (void *ctx)
 {
   http_call_t *call = ctx;
   struct ev_loop *ev = call->client->loop->ev;
 
+  if (call->reused && !call->sent && !is_quiet (call))
+    {
+      connection_replace (call);
+      return;
+    }
   while (!call->connecting && bytes_size (&call->out) > 0)
     {
       ssize_t sent = send (call->reader.fd, bytes_data (&call->out),
@@ -366,6 +383,11 @@
           ev_io_start (ev, &call->writer);
           return;
         }
+      if (sent < 0 && !call->sent)
+        {
+          call_lost (call);
+          return;
+        }
       if (sent < 0)
         {
           /* An early answer may still be there to read.  */
@@ -417,21 +439,54 @@
   call_fault (ctx, HTTP_FAULT_CONNECT);
 }
 
+/* CALL has no socket yet.  */
+static void
+connection_begin (http_call_t *call)
+{
+  http_client_t *client = call->client;
+  int fd = loop_connect (client->addr, client->options.silence_ms);
+  call->connecting = true;
+  call->reused = false;
+  http_parser_init (&call->parser, HTTP_RESPONSE);
+  call->parser.data = call;
+  ev_io_set (&call->reader, fd, EV_READ);
+  ev_io_set (&call->writer, fd, EV_WRITE);
+  client->state.opened++;
+  if (fd < 0)
+    {
+      loop_defer (client->loop, &call->broken);
+      return;
+    }
+  ev_io_start (client->loop->ev, &call->writer);
+  loop_timer (client->loop, &call->connect_timer,
+              client->options.connect_timeout_us);
+}
+
+/* A kept connection has ended before the first byte of a request went out:
+   the request, which the server cannot have seen, goes out on a new one.  */
+static void
+connection_replace (http_call_t *call)
+{
+  struct ev_loop *ev = call->client->loop->ev;
+  ev_io_stop (ev, &call->reader);
+  ev_io_stop (ev, &call->writer);
+  loop_drop (call->client->loop, &call->flush);
+  close (call->reader.fd);
+  call->client->state.replaced++;
+  connection_begin (call);
+}
+
 static http_call_t *
 connection_open (http_client_t *client)
 {
   http_call_t *call = calloc (1, sizeof *call);
   if (call == NULL)
     abort ();
-  int fd = loop_connect (client->addr, client->options.silence_ms);
   call->client = client;
-  call->connecting = true;
   call->flush = (loop_task_t){ .run = call_flush, .ctx = call };
   call->broken = (loop_task_t){ .run = on_broken, .ctx = call };
-  http_parser_init (&call->parser, HTTP_RESPONSE);
-  call->parser.data = call;
-  ev_io_init (&call->reader, on_readable, fd, EV_READ);
-  ev_io_init (&call->writer, on_writable, fd, EV_WRITE);
+  ev_init (&call->reader, on_readable);
+  ev_init (&call->writer, on_writable);
   ev_timer_init (&call->connect_timer, on_connect_timeout, 0, 0);
   call->reader.data = call;
   call->writer.data = call;
@@ -441,15 +496,7 @@
     client->all->prev = call;
   client->all = call;
   client->state.connections++;
-  client->state.opened++;
-  if (fd < 0)
-    {
-      loop_defer (client->loop, &call->broken);
-      return call;
-    }
-  ev_io_start (client->loop->ev, &call->writer);
-  loop_timer (client->loop, &call->connect_timer,
-              client->options.connect_timeout_us);
+  connection_begin (call);
   return call;
 }
 
--- a/src/edge/http_client.h
+++ b/src/edge/http_client.h
@@ -20,7 +20,8 @@
 typedef enum http_fault_t
 {
   HTTP_FAULT_CONNECT,  /* no connection; nothing was sent */
-  HTTP_FAULT_STALE,    /* a kept connection ended without a byte back */
+  HTTP_FAULT_STALE,    /* a kept connection ended behind the request, without
+                          a byte back */
   HTTP_FAULT_CUT,      /* ended before the answer was whole */
   HTTP_FAULT_GARBLED,  /* bytes that are no answer */
   HTTP_FAULT_REJECTED, /* the handler rejected the answer's head */
@@ -96,6 +97,7 @@
   uint32_t connections;
   uint32_t idle;
   uint64_t opened;
+  uint64_t replaced; /* kept ones that had ended before a request went out */
 } http_client_state_t;
 
 http_client_state_t http_client_state (const http_client_t *client);
--- a/src/edge/metrics.c
+++ b/src/edge/metrics.c
@@ -59,6 +59,7 @@
   put (to, "health_checks_total", runner->probes);
   put (to, "backend_connections", runner->connections.connections);
   put (to, "backend_connections_opened_total", runner->connections.opened);
+  put (to, "backend_connections_replaced_total", runner->connections.replaced);
   for (int i = 0; i < CAUSE_COUNT; i++)
     if (runner->faults[i] > 0)
       put_labelled (to, "runs_refused_total", "cause", cause_name ((cause_t)i),
