Send a read again only where that is of use, and call it lost afterwards

Servers that were leaving, or whose availability zone had been taken out, got such reads once more, however long after that.

Cause: a read whose kept connection ends behind it, without a byte back, goes to the same server once more on a new connection. That looked neither at its deadline, nor at what had become of the server since the first sending; and when the second sending was refused, the end told was that of the second alone.

Evidence, on: Table/EndedBehind.AReadIsAnsweredOnce/Down sees 503 after the server has read the request once; Table/SentAgain sees a second arrival in the rows PastItsDeadline, ServerIsLeaving, ZoneIsOut and AnotherServer.

Change: it is sent again only before its deadline, to the same instance, while that takes new requests. A failure after it was sent again is one of a request that may have run; the entry point then tries another server at the cost of a repeat, as after any cut, or answers 502.

--- a/src/edge/runner_answer.c
+++ b/src/edge/runner_answer.c
@@ -314,6 +314,17 @@
   run_complete (run);
 }
 
+/* Whether a read whose kept connection ended behind it goes to the same server
+   once more.  */
+static bool
+may_send_again (const run_t *run)
+{
+  const runner_t *runner = run->runner;
+  return !run->once && !run->fresh && run->deadline_us > runner->loop->now_us
+         && intake_is_open (runner->intake)
+         && strcmp (run->server_id, runner->server_id) == 0;
+}
+
 static void
 on_fault (void *ctx, http_fault_t fault)
 {
@@ -322,11 +333,8 @@
 
   if (fault == HTTP_FAULT_STALE || fault == HTTP_FAULT_CUT)
     note_cut (run);
-  if (fault == HTTP_FAULT_STALE && run->sink.ctx != NULL && !run->once
-      && !run->fresh)
+  if (fault == HTTP_FAULT_STALE && may_send_again (run))
     {
-      /* The server closed a kept connection; an idempotent call is sent
-         again on a new one.  */
       run->fresh = true;
       run_send (run);
       return;
@@ -355,6 +363,9 @@
   if (fault == HTTP_FAULT_OVERDUE)
     cause = CAUSE_DEADLINE;
   give_slot_back (run, failure != FAILURE_REFUSED);
+  /* The first sending may have run, whatever became of the second.  */
+  if (failure == FAILURE_REFUSED && run->fresh)
+    failure = FAILURE_LOST;
   if (cause != CAUSE_SERVER_SHED)
     runner->handler.faulted (runner->handler.ctx, run->attempt_id,
                              run->server_id, cause);
--- a/src/edge/runner_impl.h
+++ b/src/edge/runner_impl.h
@@ -33,7 +33,7 @@
   bool listening; /* the sink wants to hear */
   bool once;      /* stands in the table of attempts */
   bool from_backend;
-  bool fresh;
+  bool fresh; /* sent again, on a new connection */
   bool no_body;
   bool replied; /* the head was handed out */
   bool too_large;
--- a/src/mesh/intake.c
+++ b/src/mesh/intake.c
@@ -520,6 +520,13 @@
   };
 }
 
+bool
+intake_is_open (const intake_t *intake)
+{
+  cause_t cause;
+  return !is_shut (intake, &cause);
+}
+
 int64_t
 intake_run_us (const intake_t *intake)
 {
--- a/src/mesh/intake.h
+++ b/src/mesh/intake.h
@@ -93,6 +93,9 @@
 /* Mean time that a run takes; 0 before the first.  */
 int64_t intake_run_us (const intake_t *intake);
 
+/* Whether the server takes anything new at all.  */
+bool intake_is_open (const intake_t *intake);
+
 bool intake_is_cold (const intake_t *intake, int64_t now_us);
 
 #endif
--- a/tests/mesh_kept_test.cc
+++ b/tests/mesh_kept_test.cc
@@ -207,7 +207,7 @@
   }
   /* A run, as an entry point starts it, without a turn of the loop.  */
   void
-  start_run (bool idempotent)
+  start_run (bool idempotent, int64_t left_us = 5 * US_PER_S)
   {
     forward_call_t call = {};
     call_sink_t sink = { on_reply, on_body, on_failed, this };
@@ -221,7 +221,7 @@
     call.body = call.account = call.caller = call.route = "";
     call.service = "s";
     call.idempotent = idempotent;
-    call.deadline_us = loop.now_us + 5 * US_PER_S;
+    call.deadline_us = loop.now_us + left_us;
     call.wait_us = US_PER_S;
     ASSERT_EQ (START_TAKEN,
                runner_start (a->runner, &call, &sink, &run, &failure));
@@ -474,10 +474,69 @@
     "204", "204", 1, 1 },
   { "NeverAnswered", [] (connection_t *, const std::string &) {}, "504", "504",
     1, 1 },
+  { "Down",
+    [] (connection_t *c, const std::string &) {
+      c->server->stop_listening ();
+      c->reset ();
+    },
+    "502", "502", 1, 1 },
 };
 
 INSTANTIATE_TEST_SUITE_P (Table, EndedBehind, testing::ValuesIn (fault_rows),
                           [] (const auto &row) {
                             return std::string (row.param.name);
                           });
+
+/* --- reads that are sent again ------------------------------------------ */
+
+struct AgainRow
+{
+  const char *name;
+  int64_t left_us;  /* of the read, when it is sent */
+  const char *id;   /* of the server, when the connection ends */
+  bool leaving;     /* then */
+  bool zone_out;    /* then */
+  int64_t after_us; /* the connection ends so long behind the request */
+  int arrivals;
+};
+
+class SentAgain : public KeptToServer,
+                  public testing::WithParamInterface<AgainRow>
+{
+};
+
+TEST_P (SentAgain, OnlyWhereItIsStillOfUse)
+{
+  const AgainRow &row = GetParam ();
+  backend->answer = [&] (connection_t *connection, const std::string &id) {
+    if (connection != kept ())
+      RawServer::answer_whole (connection, id);
+  };
+  start_run (true, row.left_us);
+  int64_t end_us = loop.now_us + row.after_us;
+  ASSERT_TRUE (wait ([&] { return backend->arrivals["id-1"] == 1; }));
+  ASSERT_TRUE (wait ([&] { return loop.now_us >= end_us; }));
+  intake_server_t server = { 10, true, row.leaving, row.zone_out, 0, 0 };
+  runner_set_server (a->runner, &server, row.id);
+  kept ()->reset ();
+  ASSERT_TRUE (wait ([&] { return ended == 1; }));
+  EXPECT_EQ (row.arrivals, backend->arrivals["id-1"]);
+  EXPECT_EQ (row.arrivals == 1 ? "" : "whole", answered);
+  bool lost = failure.failure == FAILURE_LOST;
+  EXPECT_EQ (row.arrivals == 1, lost);
+  EXPECT_TRUE (is_all_over ());
+}
+
+const AgainRow again_rows[] = {
+  { "InTime", 5 * US_PER_S, "i", false, false, 0, 2 },
+  { "PastItsDeadline", 50 * US_PER_MS, "i", false, false, 60 * US_PER_MS, 1 },
+  { "ServerIsLeaving", 5 * US_PER_S, "i", true, false, 0, 1 },
+  { "ZoneIsOut", 5 * US_PER_S, "i", false, true, 0, 1 },
+  { "AnotherServer", 5 * US_PER_S, "j", false, false, 0, 1 },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, SentAgain, testing::ValuesIn (again_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
 }
