Do not break off an answer that has begun when it is overdue

The log had end=deadline step=answering with left-ms above zero.

Cause: a request that may be repeated is sent with a timer for its answer to be overdue, six mean runs of its route, 200 ms at least. Answers of more than 32 KiB are handed on as they come, and the timer went on running under them. When it fired, another server could not be tried any more, and the rest of the timer's callback took the case for a deadline: it cancelled the run and closed the caller's connection. A route whose answers get longer, a server that turns slow or a caller that reads slowly was enough, on any connection, here and on another VM.

Change: when an answer begins, the timer is set to the deadline.

Why it works: the overdue timer now runs only while nothing has been handed on, which is the only time when another server may be tried.

--- a/src/edge/entry_answer.c
+++ b/src/edge/entry_answer.c
@@ -55,7 +55,6 @@
       exchange_place (exchange);
       return;
     }
-  exchange->step = STEP_ANSWERING;
   http_exchange_t *http = exchange->http;
   if (last)
     {
@@ -65,6 +64,7 @@
                     body, size);
       return;
     }
+  exchange_begin_answer (exchange);
   http_begin (http, reply->status, reply->fields, reply->fields_size,
               reply->length);
   http_piece (http, body, size);
--- a/src/edge/entry_impl.h
+++ b/src/edge/entry_impl.h
@@ -139,6 +139,9 @@
 void exchange_told_done (exchange_t *exchange, run_result_t result,
                          int64_t run_us, const server_load_t *load);
 
+/* Its answer has begun: from now on nothing but its deadline breaks it off. */
+void exchange_begin_answer (exchange_t *exchange);
+
 void exchange_on_timer (struct ev_loop *ev, ev_timer *timer, int events);
 
 /* --- entry_answer.c ---------------------------------------------------- */
--- a/src/edge/entry_place.c
+++ b/src/edge/entry_place.c
@@ -41,6 +41,14 @@
   set_timer (exchange, exchange->hedged ? deadline_us : due_us);
 }
 
+void
+exchange_begin_answer (exchange_t *exchange)
+{
+  exchange->step = STEP_ANSWERING;
+  exchange->hedged = true;
+  set_timer (exchange, exchange->deadline_us - MARGIN_US);
+}
+
 /* Looks again soon, but not past UNTIL_US.  False when that has passed.  */
 static bool
 look_again (exchange_t *exchange, int64_t until_us)
--- /dev/null
+++ b/tests/mesh_overdue_test.cc
@@ -0,0 +1,62 @@
+/* Answers that take far longer than those of their route did before.  */
+
+#include "support_edge.h"
+
+namespace
+{
+const size_t LENGTH = 100000; /* too long to be handed on in one piece */
+
+struct OverdueRow
+{
+  const char *name;
+  bool local;   /* the backend server stands beside the entry point */
+  size_t first; /* bytes that come at once */
+};
+
+class Overdue : public Two, public testing::WithParamInterface<OverdueRow>
+{
+};
+
+TEST_P (Overdue, AnAnswerThatHasBegunIsNotBrokenOff)
+{
+  if (GetParam ().local)
+    start_a_beside_the_server ();
+  Caller caller (http_server_port (a->callers));
+  caller.send (request ("GET", "/read/1", "id-1"));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  answer_signed (backend->open[0], "id-1", "quick");
+  backend->open.clear ();
+  ASSERT_TRUE (wait ([&] { return caller.has ("quick"); }));
+  caller.got.clear ();
+
+  caller.send (request ("GET", "/read/2", "id-2"));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  http_exchange_t *slow = backend->open[0];
+  std::string fields = "X-Attempt-Id: id-2\r\nX-Server-Signature: s\r\n";
+  std::string body (LENGTH - 5, 'x');
+  body += "whole";
+  http_begin (slow, 200, fields.data (), fields.size (), (int64_t)LENGTH);
+  http_piece (slow, body.data (), GetParam ().first);
+  ASSERT_TRUE (wait ([&] { return caller.has ("\r\n\r\n"); }));
+  int64_t overdue_us = loop.now_us + 400 * US_PER_MS;
+  ASSERT_TRUE (
+      wait ([&] { return loop.now_us > overdue_us || backend->gone > 0; }));
+  ASSERT_EQ (0, backend->gone);
+  http_piece (slow, body.data () + GetParam ().first,
+              LENGTH - GetParam ().first);
+  http_end (slow);
+  EXPECT_TRUE (wait ([&] { return caller.has ("whole"); }));
+  EXPECT_FALSE (caller.ended);
+}
+
+const OverdueRow overdue_rows[] = {
+  { "Here", true, 60000 },
+  { "OnAnotherVm", false, 60000 },
+  { "NearlyWhole", false, LENGTH - 1 },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, Overdue, testing::ValuesIn (overdue_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+}
