Tests of answers ahead of long bodies, and of ends while reading is paused

A server may answer before it has read a long body: the answer counts once, reset or not, and the connection, on which the rest of the body is due, is not used again. A caller that does not read stops the reading of its answer; when the server's connection ends meanwhile, nobody sees that, and the run still ends at its deadline with an answer that does not look whole. No slot stays taken and no run stays open.

--- a/tests/mesh_kept_test.cc
+++ b/tests/mesh_kept_test.cc
@@ -152,6 +152,7 @@
   std::unique_ptr<RawServer> backend;
   std::unique_ptr<Sidecar> a;
   std::string fields;
+  std::string body;     /* of the run that is started next */
   std::string answered; /* bodies of whole answers */
   int ended = 0;        /* answers and failures */
   call_failure_t failure = {};
@@ -214,11 +215,13 @@
     run_t *run;
     fields = "Host: h\r\nX-Attempt-Id: id-1\r\n";
     call.attempt_id = "id-1";
-    call.method = "GET";
+    call.method = body.empty () ? "GET" : "POST";
     call.target = "/run";
     call.fields = fields.c_str ();
     call.fields_size = fields.size ();
-    call.body = call.account = call.caller = call.route = "";
+    call.body = body.data ();
+    call.body_size = body.size ();
+    call.account = call.caller = call.route = "";
     call.service = "s";
     call.idempotent = idempotent;
     call.deadline_us = loop.now_us + left_us;
@@ -539,4 +542,138 @@
                           [] (const auto &row) {
                             return std::string (row.param.name);
                           });
+
+/* --- answers ahead of a long body --------------------------------------- */
+
+struct EarlyRow
+{
+  const char *name;
+  /* Answers when the head and little more has been read; the rest waits.  */
+  RawServer::answer_t answer;
+  const char *read; /* body of the answer, or "" for a failure */
+  const char *booking;
+};
+
+class EarlyAnswer : public KeptToServer,
+                    public testing::WithParamInterface<EarlyRow>
+{
+protected:
+  void
+  expect_end (bool idempotent, const std::string &whole)
+  {
+    bool first = true;
+    backend->answer = [&] (connection_t *connection, const std::string &id) {
+      bool early = first;
+      first = false;
+      ev_io_stop (loop.ev, &connection->reader);
+      early ? GetParam ().answer (connection, id)
+            : RawServer::answer_whole (connection, id);
+    };
+    body.assign (16 << 20, 'b');
+    start_run (idempotent);
+    ASSERT_TRUE (wait ([&] { return ended == 1; }));
+    EXPECT_EQ (whole, answered);
+    EXPECT_EQ (whole.empty (), failure.failure != FAILURE_REFUSED);
+    EXPECT_TRUE (is_all_over ());
+    /* What is left of the body is due there, and nothing else.  */
+    EXPECT_EQ (0u, pool ().idle);
+    EXPECT_TRUE (wait ([&] { return pool ().connections == 0; }));
+  }
+};
+
+TEST_P (EarlyAnswer, EndsARead) { expect_end (true, GetParam ().read); }
+
+TEST_P (EarlyAnswer, EndsABooking) { expect_end (false, GetParam ().booking); }
+
+const EarlyRow early_rows[] = {
+  { "Whole", RawServer::answer_whole, "whole", "whole" },
+  { "WholeThenReset",
+    [] (connection_t *c, const std::string &id) {
+      say (c, RawServer::whole (id));
+      c->reset ();
+    },
+    "whole", "whole" },
+  { "WholeThenClosed",
+    [] (connection_t *c, const std::string &id) {
+      say (c, RawServer::whole (id));
+      c->shut ();
+    },
+    "whole", "whole" },
+  { "HalfThenReset",
+    [] (connection_t *c, const std::string &id) {
+      say (c, "HTTP/1.1 200 OK\r\n" + RawServer::signed_by (id)
+                  + "Content-Length: 5\r\n\r\nwh");
+      c->reset ();
+    },
+    "", "" },
+  { "Reset", [] (connection_t *c, const std::string &) { c->reset (); },
+    "whole", "" },
+  { "Closed", [] (connection_t *c, const std::string &) { c->shut (); },
+    "whole", "" },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, EarlyAnswer, testing::ValuesIn (early_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+
+/* --- connections that end while reading is paused ----------------------- */
+
+struct PausedRow
+{
+  const char *name;
+  bool reset; /* or left open */
+};
+
+class Paused : public KeptToServer,
+               public testing::WithParamInterface<PausedRow>
+{
+};
+
+TEST_P (Paused, ARunEndsAtItsDeadlineAndItsAnswerIsNotWhole)
+{
+  const size_t LENGTH = 64 << 20;
+  connection_t *busy = nullptr;
+  std::string piece (1 << 20, 'x');
+  backend->answer = [&] (connection_t *connection, const std::string &id) {
+    connection->write ("HTTP/1.1 200 OK\r\n" + RawServer::signed_by (id)
+                       + "Content-Length: " + std::to_string (LENGTH)
+                       + "\r\n\r\n");
+    busy = connection;
+  };
+  Caller caller (http_server_port (a->callers));
+  caller.send (request ("GET", "/read/1", "id-1"));
+  ASSERT_TRUE (wait ([&] { return busy != nullptr; }));
+  size_t sent = 0;
+  int64_t moved_us = loop.now_us;
+  /* Until nobody takes more: the caller reads nothing.  */
+  ASSERT_TRUE (wait ([&] {
+    ssize_t size;
+    while (sent < LENGTH
+           && (size = ::send (busy->reader.fd, piece.data (), piece.size (),
+                              MSG_NOSIGNAL))
+                  > 0)
+      {
+        sent += (size_t)size;
+        moved_us = loop.now_us;
+      }
+    return loop.now_us - moved_us > 50 * US_PER_MS;
+  }));
+  ASSERT_LT (sent, LENGTH);
+  ASSERT_EQ (1u, runner_open (a->runner));
+  if (GetParam ().reset)
+    busy->reset ();
+  ASSERT_TRUE (wait ([&] { return is_all_over (); }));
+  ASSERT_TRUE (wait ([&] { return caller.is_over () || caller.reset; }));
+  EXPECT_EQ (0u, caller.got.find ("HTTP/1.1 200"));
+  EXPECT_LT (caller.got.size (), LENGTH);
+  EXPECT_EQ (0u, pool ().connections);
+}
+
+const PausedRow paused_rows[] = { { "Reset", true }, { "Open", false } };
+
+INSTANTIATE_TEST_SUITE_P (Table, Paused, testing::ValuesIn (paused_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
 }
