Bound the bodies of health checks and of the store's answers

Cause: bytes ahead of an answer's head were bounded, and answers to requests go as fast as their callers read, but a body that nobody reads slowly had no bound but the time of its call.

Evidence: Table/WithoutEnd.EndsForAHealthCheck and EndsForAReaderOfTheStore fail without the change in the rows Body, BodyOfAnother and ChunksOfAnother, and pass in the rows of endless heads, interim answers and trailers.

Change: a request tells how long the body of its answer may be; more is no answer. 64 KiB for a health check, 16 MiB for the store, whose pages have 1 MiB.

--- a/src/edge/http_client.c
+++ b/src/edge/http_client.c
@@ -35,6 +35,7 @@
   int64_t idle_max_us;
   int64_t deadline_us; /* of the call, or 0 */
   size_t noise;        /* bytes before the head that was taken */
+  size_t body_left;    /* of the answer, at most */
   bool connecting;
   bool active; /* a call is on it */
   bool sent;   /* a byte of the request has gone out */
@@ -242,8 +243,15 @@
 on_body (http_parser *parser, const char *at, size_t size)
 {
   http_call_t *call = parser->data;
-  if (!call->skipping)
-    call->handler.body (call->handler.ctx, at, size);
+  if (call->skipping)
+    return 0;
+  if (size > call->body_left)
+    {
+      call_fault (call, HTTP_FAULT_GARBLED);
+      return -1;
+    }
+  call->body_left -= size;
+  call->handler.body (call->handler.ctx, at, size);
   return call->dead ? -1 : 0;
 }
 
@@ -528,6 +536,7 @@
   call->no_body = request->no_body;
   call->deadline_us = request->deadline_us;
   call->noise = 0;
+  call->body_left = request->body_most > 0 ? request->body_most : SIZE_MAX;
   call->sent = false;
   call->answered = false;
   call->taken = false;
--- a/src/edge/http_client.h
+++ b/src/edge/http_client.h
@@ -70,6 +70,7 @@
   const char *body;
   size_t body_size;
   int64_t deadline_us; /* for the whole answer; 0 is none */
+  size_t body_most;    /* bytes of the answer's body; 0 is any */
   bool fresh;          /* on a new connection */
   bool no_body;        /* the answer has none: HEAD */
 } http_request_t;
--- a/src/edge/runner_probe.c
+++ b/src/edge/runner_probe.c
@@ -5,7 +5,8 @@
 
 enum
 {
-  PROBE_MOST_US = 10 * US_PER_S /* a check waits for a slot, as all do */
+  PROBE_MOST_US = 10 * US_PER_S, /* a check waits for a slot, as all do */
+  PROBE_MOST_BYTES = 64 * 1024   /* of a body, which nobody reads */
 };
 
 typedef struct probing_t
@@ -85,6 +86,7 @@
     .head = bytes_data (&head),
     .head_size = bytes_size (&head),
     .deadline_us = runner->loop->now_us + PROBE_MOST_US,
+    .body_most = PROBE_MOST_BYTES,
   };
   http_reply_handler_t handler
       = { probe_head, probe_body, probe_end, probe_fault, probing };
--- a/src/edge/store.c
+++ b/src/edge/store.c
@@ -9,8 +9,9 @@
   FOLLOWERS_MAX = 2,
   CONNECT_US = 1000 * US_PER_MS,
   IDLE_US = 5 * US_PER_S,
-  SILENCE_MS = 2000,            /* for the store to acknowledge data */
-  ANSWER_US = 3000 * US_PER_MS, /* for a call that does not wait */
+  SILENCE_MS = 2000,                    /* for the store to acknowledge data */
+  ANSWER_US = 3000 * US_PER_MS,         /* for a call that does not wait */
+  ANSWER_MOST_BYTES = 16 * 1024 * 1024, /* several times the largest page */
   WAIT_MS = 28000, /* for new records; the store waits 30 s at most */
   RETRY_FIRST_US = 100 * US_PER_MS,
   RETRY_MOST_US = 1500 * US_PER_MS, /* entries are to be back within 2 s */
@@ -182,6 +183,7 @@
     .head_size = bytes_size (head),
     .body = bytes_data (body),
     .body_size = bytes_size (body),
+    .body_most = ANSWER_MOST_BYTES,
   };
   bytes_consume (&caller->body, bytes_size (&caller->body));
   caller->call = http_client_call (store->client, &request, &handler);
--- a/tests/mesh_endless_test.cc
+++ b/tests/mesh_endless_test.cc
@@ -2,6 +2,11 @@
 
 #include "support_edge.h"
 
+extern "C"
+{
+#include "edge/store.h"
+}
+
 namespace
 {
 /* A server that answers each request with HEAD and then MORE without end, as
@@ -20,6 +25,7 @@
   ev_io acceptor;
   std::vector<std::unique_ptr<Connection>> connections;
   int answered = 0;
+  size_t sent = 0;
   int closed = 0;
 
   Endless (loop_t *loop, const std::string &head, const std::string &more)
@@ -94,7 +100,10 @@
         = ::send (watcher->fd, connection->waiting.data (),
                   connection->waiting.size (), MSG_NOSIGNAL | MSG_DONTWAIT);
     if (size >= 0)
-      connection->waiting.erase (0, size);
+      {
+        connection->server->sent += (size_t)size;
+        connection->waiting.erase (0, size);
+      }
     else if (errno != EAGAIN)
       {
         connection->server->closed++;
@@ -103,6 +112,9 @@
   }
 };
 
+/* What the sockets between hold comes on top of what is taken in.  */
+const size_t ENOUGH_BYTES = 64 << 20;
+
 struct EndlessRow
 {
   const char *name;
@@ -185,6 +197,21 @@
   runner_probe (
       a->runner, "/health", [] (void *, const server_probe_t *) {}, nullptr);
   EXPECT_TRUE (wait ([&] { return backend->closed == 1; }));
+  EXPECT_LT (backend->sent, ENOUGH_BYTES);
+}
+
+TEST_P (WithoutEnd, EndsForAReaderOfTheStore)
+{
+  store_t *store = store_new (&loop, platform_dialect (),
+                              loopback (backend->port ()), &rng, &log);
+  store_handler_t handler
+      = { [] (void *) {}, [] (void *, const keyed_record_t *) {},
+          [] (void *, int64_t) {}, nullptr };
+  store_follow (store, "topic", STORE_AT_ONCE, &handler);
+  EXPECT_TRUE (wait ([&] { return backend->closed == 1; }));
+  EXPECT_LT (backend->sent, ENOUGH_BYTES);
+  EXPECT_FALSE (store_state (store).reachable);
+  store_free (store);
 }
 
 const EndlessRow endless_rows[] = {
