--- /dev/null
+++ b/tests/live_reload_test.cc
@@ -0,0 +1,124 @@
+/* SIGHUP tells a sidecar that its settings have changed, at any time.  */
+
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include "support_proc.h"
+}
+
+#include <csignal>
+#include <cstdio>
+#include <fcntl.h>
+#include <poll.h>
+#include <string>
+#include <sys/stat.h>
+#include <unistd.h>
+
+namespace
+{
+const char SETTINGS[]
+    = R"({"node":"n","zone":"z","service":"s","callers":"127.0.0.1:0",)"
+      R"("ready":"127.0.0.1:0","announce":"127.0.0.1:0",)"
+      R"("peer":"127.0.0.1:0","metrics":"127.0.0.1:0",)"
+      R"("backend":"127.0.0.1:1","store":"127.0.0.1:1"})";
+
+class Reload : public testing::Test
+{
+protected:
+  proc_t sidecar = {};
+  int log[2] = { -1, -1 };
+  std::string printed;
+  char path[256] = "";
+
+  void
+  SetUp () override
+  {
+    ASSERT_EQ (0, pipe2 (log, O_CLOEXEC));
+    ASSERT_TRUE (
+        proc_write_file ("sidecar.json", SETTINGS, path, sizeof path));
+  }
+  void
+  TearDown () override
+  {
+    if (sidecar.pid > 0)
+      proc_kill (&sidecar);
+    for (int fd : log)
+      if (fd >= 0)
+        close (fd);
+  }
+  void
+  start ()
+  {
+    const char *args[] = { "sidecar", "--settings", path, nullptr };
+    ASSERT_TRUE (proc_start_logged (&sidecar, "redwingford", args, log[1]));
+    close (log[1]);
+    log[1] = -1;
+  }
+  bool
+  prints (const std::string &text)
+  {
+    char block[4096];
+    struct pollfd poller = { log[0], POLLIN, 0 };
+    while (printed.find (text) == std::string::npos
+           && poll (&poller, 1, PROC_WAIT_MS) > 0)
+      {
+        ssize_t size = read (log[0], block, sizeof block);
+        if (size <= 0)
+          break;
+        printed.append (block, size);
+      }
+    return printed.find (text) != std::string::npos;
+  }
+  /* Opens the writing end once the sidecar reads its settings.  */
+  int
+  open_when_read ()
+  {
+    struct Opened
+    {
+      const char *path;
+      int fd;
+    } opened = { path, -1 };
+    proc_wait_until (
+        [] (void *ctx) {
+          Opened *opened = (Opened *)ctx;
+          opened->fd = open (opened->path, O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+          return opened->fd >= 0;
+        },
+        &opened, PROC_WAIT_MS);
+    return opened.fd;
+  }
+};
+
+TEST_F (Reload, ASidecarThatStartsOutlivesIt)
+{
+  ASSERT_EQ (0, unlink (path));
+  ASSERT_EQ (0, mkfifo (path, 0600));
+  start ();
+  int settings = open_when_read ();
+  ASSERT_GE (settings, 0);
+  proc_signal (&sidecar, SIGHUP);
+  ASSERT_EQ ((ssize_t)sizeof SETTINGS - 1,
+             write (settings, SETTINGS, sizeof SETTINGS - 1));
+  close (settings);
+  EXPECT_TRUE (prints ("started")) << printed;
+  proc_signal (&sidecar, SIGTERM);
+  EXPECT_EQ (0, proc_wait (&sidecar, PROC_WAIT_MS));
+}
+
+TEST_F (Reload, ASidecarThatRunsReadsItsSettingsAgain)
+{
+  start ();
+  ASSERT_TRUE (prints ("started")) << printed;
+  proc_signal (&sidecar, SIGHUP);
+  EXPECT_TRUE (prints ("settings-reloaded")) << printed;
+  FILE *file = fopen (path, "w");
+  ASSERT_NE (nullptr, file);
+  fputs ("{", file);
+  fclose (file);
+  proc_signal (&sidecar, SIGHUP);
+  EXPECT_TRUE (prints ("settings-rejected")) << printed;
+  proc_signal (&sidecar, SIGTERM);
+  EXPECT_EQ (0, proc_wait (&sidecar, PROC_WAIT_MS));
+}
+}
