Break one answer off without its neighbours on the connection

Change: an answer of which nothing has left becomes a 502, as others before it are still owed; requests before and behind it go on. One that is under way still ends its connection, but what was written before the break is sent first. Ruled out: to linger after the break; what came then would be read and thrown away.

--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -399,12 +399,35 @@
   advance (connection);
 }
 
+/* What was written before the break may still be on its way out.  */
+static void
+send_rest (http_connection_t *connection)
+{
+  ssize_t sent = 1;
+  while (sent > 0 && bytes_size (&connection->out) > 0)
+    {
+      sent = send (connection->reader.fd, bytes_data (&connection->out),
+                   bytes_size (&connection->out), MSG_NOSIGNAL);
+      if (sent > 0)
+        bytes_consume (&connection->out, (size_t)sent);
+    }
+}
+
 void
 http_abort (http_exchange_t *exchange)
 {
+  http_connection_t *connection = exchange->connection;
+  if (connection->first != exchange)
+    {
+      /* Nothing of it has left, and others before it are still owed.  */
+      bytes_consume (&exchange->out, bytes_size (&exchange->out));
+      http_respond (exchange, HTTP_STATUS_BAD_GATEWAY, NULL, 0, NULL, 0);
+      return;
+    }
+  send_rest (connection);
   exchange->answer = HTTP_ANSWER_ENDED;
-  exchange->connection->server->state.exchanges--;
-  connection_close (exchange->connection, HTTP_END_BROKEN);
+  connection->server->state.exchanges--;
+  connection_close (connection, HTTP_END_BROKEN);
 }
 
 void
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -162,9 +162,11 @@
 void http_begin (http_exchange_t *exchange, int status, const char *headers,
                  size_t headers_size, int64_t length);
 void http_piece (http_exchange_t *exchange, const void *data, size_t size);
-/* The exchange must not be used after either of these.  */
+/* The exchange must not be used after this or http_abort.  */
 void http_end (http_exchange_t *exchange);
-void http_abort (http_exchange_t *exchange); /* closes the connection */
+/* Breaks the answer off by closing the connection, or answers 502 when other
+   answers come before it.  */
+void http_abort (http_exchange_t *exchange);
 
 /* Bytes of the answer that the caller has not taken yet.  */
 size_t http_unread (const http_exchange_t *exchange);
