Reset an answer to HTTP/1.0 that breaks off

An answer to HTTP/1.0 whose length is not known ends with its connection, so one that broke off, by its server or by the end of a stop, looked whole to its caller.

Evidence: AnAnswerWithoutLengthToOldHttpDoesNotLookWholeWhenItBreaksOff failed on the code before: the connection ended like that of a whole answer.

Change: a connection that ends in the middle of such an answer is reset.

--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -180,6 +180,17 @@
             : server->limits.idle_timeout_us;
 }
 
+/* An answer whose end is the connection's would look whole.  */
+static void
+reset_if_unfinished (const http_connection_t *connection)
+{
+  static const struct linger none = { .l_onoff = 1, .l_linger = 0 };
+  const http_exchange_t *exchange = connection->first;
+  if (exchange != NULL && exchange->until_close)
+    setsockopt (connection->reader.fd, SOL_SOCKET, SO_LINGER, &none,
+                sizeof none);
+}
+
 /* END counts unless it was decided earlier why the connection ends.  */
 static void
 connection_close (http_connection_t *connection, http_end_t end)
@@ -194,6 +205,7 @@
   ev_io_stop (server->loop->ev, &connection->writer);
   loop_drop (server->loop, &connection->flush);
   loop_drop (server->loop, &connection->resume);
+  reset_if_unfinished (connection);
   close (connection->reader.fd);
   exchanges_drop (connection);
   report_end (connection);
@@ -350,6 +362,7 @@
                 http_status_str ((enum http_status)status));
   bytes_append (out, headers, headers_size);
   exchange->chunked = length < 0 && !exchange->old && !exchange->no_body;
+  exchange->until_close = length < 0 && exchange->old && !exchange->no_body;
   if (is_last (exchange))
     {
       exchange->close_after = true;
@@ -424,7 +437,8 @@
       http_respond (exchange, HTTP_STATUS_BAD_GATEWAY, NULL, 0, NULL, 0);
       return;
     }
-  send_rest (connection);
+  if (!exchange->until_close)
+    send_rest (connection);
   exchange->answer = HTTP_ANSWER_ENDED;
   connection->server->state.exchanges--;
   connection_close (connection, HTTP_END_BROKEN);
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -64,6 +64,7 @@
   http_answer_state_t answer;
   bool handed; /* the handler has it */
   bool chunked;
+  bool until_close; /* the answer ends with the connection */
   bool close_after;
   bool no_body; /* the request was HEAD */
   bool old;     /* HTTP/1.0 */
--- a/tests/mesh_cut_test.cc
+++ b/tests/mesh_cut_test.cc
@@ -72,4 +72,19 @@
   EXPECT_TRUE (wait ([&] { return caller->is_over (); }));
   EXPECT_TRUE (caller->has ("first"));
 }
+
+/* Its end is the connection's: only a reset tells it from a whole one.  */
+TEST_F (Loop, AnAnswerWithoutLengthToOldHttpDoesNotLookWholeWhenItBreaksOff)
+{
+  Server server (&loop, limits ());
+  Caller caller (server.port ());
+  caller.send (get ("/", "1.0"));
+  ASSERT_TRUE (wait ([&] { return server.open.size () == 1; }));
+  http_begin (server.open[0], 200, nullptr, 0, -1);
+  http_piece (server.open[0], "half", 4);
+  ASSERT_TRUE (wait ([&] { return caller.has ("half"); }));
+  http_abort (server.open[0]);
+  EXPECT_TRUE (wait ([&] { return caller.is_over () || caller.reset; }));
+  EXPECT_TRUE (caller.reset);
+}
 }
