Send nothing anywhere at the end of a stop

What callers saw: 502 for requests that had not run when a stop's time was over. The own queue is refused first; a request in it that had another server to go to was placed there, over the link, and given up in the same turn: a refusal became an unknown outcome, and a booking was on its way to a server with nobody to hear of it.

Evidence: both rows of NothingIsSentAnywhereAtTheEndOfAStop failed on the code before with one remote sending and a 502.

Change: nothing is placed once the stop's time is over; what has not run is refused. Ruled out: to end the open requests before the queue is refused; each run that is cancelled lets a queued one start.

--- a/src/edge/entry_place.c
+++ b/src/edge/entry_place.c
@@ -151,6 +151,13 @@
     exchange->tried[exchange->tried_count++] = exchange->vm;
 }
 
+static bool
+stop_is_over (const entry_point_t *entry)
+{
+  return entry->stop_since_us != 0
+         && entry->parts.loop->now_us >= entry->stop_end_us;
+}
+
 void
 exchange_place (exchange_t *exchange)
 {
@@ -158,6 +165,12 @@
   int64_t now_us = entry->parts.loop->now_us;
 
   exchange->step = STEP_PLACING;
+  if (stop_is_over (entry))
+    {
+      /* Nobody would be here for its answer.  */
+      exchange_give_up (exchange, ENTRY_STOPPING);
+      return;
+    }
   while (exchange->tried_count < PLACES_MAX
          && placement_pick (entry->parts.placement, exchange->service,
                             exchange->tried, exchange->tried_count, now_us,
--- a/tests/mesh_cut_test.cc
+++ b/tests/mesh_cut_test.cc
@@ -87,4 +87,41 @@
   EXPECT_TRUE (wait ([&] { return caller.is_over () || caller.reset; }));
   EXPECT_TRUE (caller.reset);
 }
+
+/* --- the end of a stop -------------------------------------------------- */
+
+class LastPlace : public Two, public testing::WithParamInterface<const char *>
+{
+};
+
+/* Where a run of A's own queue is refused, another server is there.  */
+TEST_P (LastPlace, NothingIsSentAnywhereAtTheEndOfAStop)
+{
+  start_a_beside_the_server ();
+  intake_server_t one = { 1, true, false, false, 0, 0 };
+  runner_set_server (a->runner, &one, "i");
+  Caller first (http_server_port (a->callers));
+  first.send (request ("GET", "/read/0", "id-0"));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  Caller second (http_server_port (a->callers));
+  second.send (request (GetParam (), "/book/1", "id-1"));
+  ASSERT_TRUE (wait ([&] { return entry_state (a->entry).open == 2; }));
+  peer_set_add (a->peers, peer_set_vm (b->peers));
+  ASSERT_TRUE (wait ([&] {
+    peer_set_tick (a->peers, true, true);
+    peer_set_tick (b->peers, true, true);
+    return placement_accepting (a->placement, "s") == 2;
+  }));
+  entry_set_stop (a->entry, loop.now_us - US_PER_S, loop.now_us);
+  runner_stop (a->runner);
+  entry_end_open (a->entry);
+  EXPECT_EQ (0u, entry_state (a->entry).remote);
+  EXPECT_TRUE (wait ([&] { return second.has ("\r\n\r\n"); }));
+  EXPECT_EQ (0u, second.got.find ("HTTP/1.1 503 ")) << second.got;
+}
+
+INSTANTIATE_TEST_SUITE_P (Table, LastPlace, testing::Values ("GET", "POST"),
+                          [] (const auto &row) {
+                            return std::string (row.param);
+                          });
 }
