Keep the backend server shut once a stop has ended

A health check or a heartbeat that came after the end of a stop's time set the queue's server anew, so that runs of other sidecars were taken again, to be cut within the second.

Evidence: NewsOfTheServerDoesNotUndoTheEndOfAStop failed on the code before: a run was started after runner_stop.

Change: runner_stop holds until the runner is freed, as its header says.

--- a/src/edge/runner.c
+++ b/src/edge/runner.c
@@ -318,13 +318,15 @@
       http_client_forget (runner->client);
     }
   snprintf (runner->server_id, sizeof runner->server_id, "%s", server_id);
-  intake_set_server (runner->intake, server, runner->loop->now_us);
+  if (!runner->stopped)
+    intake_set_server (runner->intake, server, runner->loop->now_us);
 }
 
 void
 runner_stop (runner_t *runner)
 {
   intake_server_t server = { .leaving = true };
+  runner->stopped = true;
   intake_set_server (runner->intake, &server, runner->loop->now_us);
 }
 
--- a/src/edge/runner_impl.h
+++ b/src/edge/runner_impl.h
@@ -81,6 +81,7 @@
   run_t **kept_last;
   run_t *open_first;
   uint32_t open;
+  bool stopped; /* refuses all from now on */
   runner_state_t state;
 };
 
--- a/tests/mesh_cut_test.cc
+++ b/tests/mesh_cut_test.cc
@@ -124,4 +124,16 @@
                           [] (const auto &row) {
                             return std::string (row.param);
                           });
+
+/* Health checks go on, and tell of the server again.  */
+TEST_F (Runs, NewsOfTheServerDoesNotUndoTheEndOfAStop)
+{
+  runner_stop (b->runner);
+  b->set_backend ("i");
+  forward_call_t made = call ("id-1", true);
+  run_t *run = nullptr;
+  EXPECT_EQ (START_REFUSED,
+             runner_start (b->runner, &made, &sink, &run, &failure));
+  EXPECT_EQ (CAUSE_LEAVING, failure.cause);
+}
 }
