Read no request after the decision to end the process

The timer that ends the process only marks the loop as over; sockets that were found readable in the same turn are still read. A request among them was handed on, its refusal was left for the next turn, and there was none: its connection was closed behind bytes that had been read. The same holds for heartbeats, readiness checks and metrics.

Evidence: ARequestThatArrivesAsTheLoopEndsIsNotRead failed with the new call empty, as the code was before: the request was handed on and its connection not reset.

Change: all listeners stop reading with that decision, pending reads included. What has arrived stays unread, so the kernel resets its connection and the caller knows that nobody has it.

--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -1035,6 +1035,14 @@
   return false;
 }
 
+void
+http_server_stop_reading (http_server_t *server)
+{
+  http_server_stop_listening (server);
+  for (http_connection_t *at = server->connections; at != NULL; at = at->next)
+    ev_io_stop (server->loop->ev, &at->reader);
+}
+
 static void
 drain_one (http_connection_t *connection)
 {
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -243,6 +243,16 @@
          || peer_set_is_unsent (sidecar->peers);
 }
 
+/* What is read from now on would get no answer.  */
+static void
+stop_reading (sidecar_t *sidecar)
+{
+  http_server_stop_reading (sidecar->callers);
+  http_server_stop_reading (sidecar->announce);
+  http_server_stop_reading (sidecar->ready);
+  http_server_stop_reading (sidecar->metrics);
+}
+
 static void
 next_phase (sidecar_t *sidecar)
 {
@@ -271,6 +281,7 @@
                  "after-ms=%lld open=%u connections=%u",
                  (long long)(age_us / US_PER_MS), open,
                  http_server_state (sidecar->callers).connections);
+      stop_reading (sidecar);
       ev_break (sidecar->loop.ev, EVBREAK_ALL);
     }
 }
--- a/tests/mesh_cut_test.cc
+++ b/tests/mesh_cut_test.cc
@@ -90,6 +90,39 @@
 
 /* --- the end of a stop -------------------------------------------------- */
 
+/* As at the end of a stop: a timer ends the loop while requests that arrived
+   in the same turn are still to be read.  */
+TEST_F (Loop, ARequestThatArrivesAsTheLoopEndsIsNotRead)
+{
+  auto server = std::make_unique<Server> (&loop, limits ());
+  Caller caller (server->port ());
+  ASSERT_TRUE (wait (
+      [&] { return http_server_state (server->server).connections == 1; }));
+  struct
+  {
+    ev_timer timer;
+    http_server_t *server;
+  } last;
+  last.server = server->server;
+  ev_timer_init (
+      &last.timer,
+      [] (struct ev_loop *ev, ev_timer *timer, int) {
+        http_server_stop_reading (*(http_server_t **)timer->data);
+        ev_break (ev, EVBREAK_ALL);
+      },
+      0, 0);
+  last.timer.data = &last.server;
+  ev_timer_start (loop.ev, &last.timer);
+  caller.send (get ("/"));
+  ev_run (loop.ev, 0);
+  EXPECT_EQ (0u, server->targets.size ());
+  server.reset ();
+  EXPECT_TRUE (wait ([&] {
+    caller.has ("");
+    return caller.reset;
+  }));
+}
+
 class LastPlace : public Two, public testing::WithParamInterface<const char *>
 {
 };
