Let a stop wait for requests that are half read

A stop ended as soon as no request was open; one whose first bytes had been read, with the rest still in the kernel or under way, did not count and was cut.

Evidence: AServerIsBusyWhileARequestIsHalfRead failed with the new call the same as the condition before.

Change: a half-read request holds up the end of a stop, within its time; it is answered, refused when it is whole too late, or ends by its own time-out.

--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -1035,6 +1035,16 @@
   return false;
 }
 
+bool
+http_server_is_busy (const http_server_t *server)
+{
+  for (const http_connection_t *at = server->connections; at != NULL;
+       at = at->next)
+    if (at->reading != NULL)
+      return true;
+  return http_server_is_unsent (server);
+}
+
 void
 http_server_stop_reading (http_server_t *server)
 {
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -92,6 +92,9 @@
 /* Whether a caller has not got all of an answer that was written.  */
 bool http_server_is_unsent (const http_server_t *server);
 
+/* The same, or a request is half read.  */
+bool http_server_is_busy (const http_server_t *server);
+
 /* Nothing more is read, not even what this turn of the loop has found to be
    there: what nobody will answer stays with the kernel, which resets it.  */
 void http_server_stop_reading (http_server_t *server);
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -235,11 +235,12 @@
   return (int64_t)(sidecar->settings.stop_s * US_PER_S) - LAST_ANSWERS_US;
 }
 
-/* Whether somebody has not got all of what was written for them.  */
+/* Whether somebody has not got all of what was written for them, or is in the
+   middle of a request.  */
 static bool
-is_unsent (const sidecar_t *sidecar)
+is_busy (const sidecar_t *sidecar)
 {
-  return http_server_is_unsent (sidecar->callers)
+  return http_server_is_busy (sidecar->callers)
          || peer_set_is_unsent (sidecar->peers);
 }
 
@@ -275,7 +276,7 @@
   bool drained = sidecar->phase == PHASE_DRAINING && open == 0
                  && age_us >= READY_NOTICE_US + CLOSING_US;
   bool ended = drained || sidecar->phase == PHASE_ENDING;
-  if ((ended && !is_unsent (sidecar)) || age_us >= most_us + LAST_BYTES_US)
+  if ((ended && !is_busy (sidecar)) || age_us >= most_us + LAST_BYTES_US)
     {
       event_log (&sidecar->log, EVENT_LIFE, "stopped",
                  "after-ms=%lld open=%u connections=%u",
--- a/tests/mesh_cut_test.cc
+++ b/tests/mesh_cut_test.cc
@@ -123,6 +123,21 @@
   }));
 }
 
+/* The rest may have arrived already.  */
+TEST_F (Loop, AServerIsBusyWhileARequestIsHalfRead)
+{
+  Server server (&loop, limits ());
+  server.answer = [] (http_exchange_t *exchange) {
+    http_respond (exchange, 200, nullptr, 0, "ok", 2);
+  };
+  Caller caller (server.port ());
+  caller.send ("GET /half HTTP/1.1\r\nHost: h\r\n");
+  EXPECT_TRUE (wait ([&] { return http_server_is_busy (server.server); }));
+  caller.send ("\r\n");
+  EXPECT_TRUE (wait ([&] { return caller.has ("ok"); }));
+  EXPECT_TRUE (wait ([&] { return !http_server_is_busy (server.server); }));
+}
+
 class LastPlace : public Two, public testing::WithParamInterface<const char *>
 {
 };
