--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -182,6 +182,17 @@
             : server->limits.idle_timeout_us;
 }
 
+/* An answer whose end is the connection's would look whole.  */
+static void
+reset_if_unfinished (const http_connection_t *connection)
+{
+  static const struct linger none = { .l_onoff = 1, .l_linger = 0 };
+  const http_exchange_t *exchange = connection->first;
+  if (exchange != NULL && exchange->until_close)
+    setsockopt (connection->reader.fd, SOL_SOCKET, SO_LINGER, &none,
+                sizeof none);
+}
+
 /* END counts unless it was decided earlier why the connection ends.  */
 static void
 connection_close (http_connection_t *connection, http_end_t end)
@@ -196,6 +207,7 @@
   ev_io_stop (server->loop->ev, &connection->writer);
   loop_drop (server->loop, &connection->flush);
   loop_drop (server->loop, &connection->resume);
+  reset_if_unfinished (connection);
   close (connection->reader.fd);
   exchanges_drop (connection);
   report_end (connection);
@@ -353,6 +365,7 @@
                 http_status_str ((enum http_status)status));
   bytes_append (out, headers, headers_size);
   exchange->chunked = length < 0 && !exchange->old && !exchange->no_body;
+  exchange->until_close = length < 0 && exchange->old && !exchange->no_body;
   if (is_last (exchange))
     {
       exchange->close_after = true;
@@ -402,12 +415,36 @@
   advance (connection);
 }
 
+/* What was written before the break may still be on its way out.  */
+static void
+send_rest (http_connection_t *connection)
+{
+  ssize_t sent = 1;
+  while (sent > 0 && bytes_size (&connection->out) > 0)
+    {
+      sent = send (connection->reader.fd, bytes_data (&connection->out),
+                   bytes_size (&connection->out), MSG_NOSIGNAL);
+      if (sent > 0)
+        bytes_consume (&connection->out, (size_t)sent);
+    }
+}
+
 void
 http_abort (http_exchange_t *exchange)
 {
+  http_connection_t *connection = exchange->connection;
+  if (connection->first != exchange)
+    {
+      /* Nothing of it has left, and others before it are still owed.  */
+      bytes_consume (&exchange->out, bytes_size (&exchange->out));
+      http_respond (exchange, HTTP_STATUS_BAD_GATEWAY, NULL, 0, NULL, 0);
+      return;
+    }
+  if (!exchange->until_close)
+    send_rest (connection);
   exchange->answer = HTTP_ANSWER_ENDED;
-  exchange->connection->server->state.exchanges--;
-  connection_close (exchange->connection, HTTP_END_BROKEN);
+  connection->server->state.exchanges--;
+  connection_close (connection, HTTP_END_BROKEN);
 }
 
 void
@@ -1026,6 +1063,24 @@
   return false;
 }
 
+bool
+http_server_is_busy (const http_server_t *server)
+{
+  for (const http_connection_t *at = server->connections; at != NULL;
+       at = at->next)
+    if (at->reading != NULL)
+      return true;
+  return http_server_is_unsent (server);
+}
+
+void
+http_server_stop_reading (http_server_t *server)
+{
+  http_server_stop_listening (server);
+  for (http_connection_t *at = server->connections; at != NULL; at = at->next)
+    ev_io_stop (server->loop->ev, &at->reader);
+}
+
 static void
 drain_one (http_connection_t *connection)
 {
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -64,6 +64,7 @@
   http_answer_state_t answer;
   bool handed; /* the handler has it */
   bool chunked;
+  bool until_close; /* the answer ends with the connection */
   bool close_after;
   bool no_body; /* the request was HEAD */
   bool old;     /* HTTP/1.0 */
@@ -91,6 +92,13 @@
 /* Whether a caller has not got all of an answer that was written.  */
 bool http_server_is_unsent (const http_server_t *server);
 
+/* The same, or a request is half read.  */
+bool http_server_is_busy (const http_server_t *server);
+
+/* Nothing more is read, not even what this turn of the loop has found to be
+   there: what nobody will answer stays with the kernel, which resets it.  */
+void http_server_stop_reading (http_server_t *server);
+
 /* No new connections are accepted.  */
 void http_server_stop_listening (http_server_t *server);
 
@@ -163,9 +171,11 @@
 void http_begin (http_exchange_t *exchange, int status, const char *headers,
                  size_t headers_size, int64_t length);
 void http_piece (http_exchange_t *exchange, const void *data, size_t size);
-/* The exchange must not be used after either of these.  */
+/* The exchange must not be used after this or http_abort.  */
 void http_end (http_exchange_t *exchange);
-void http_abort (http_exchange_t *exchange); /* closes the connection */
+/* Breaks the answer off by closing the connection, or answers 502 when other
+   answers come before it.  */
+void http_abort (http_exchange_t *exchange);
 
 /* Bytes of the answer that the caller has not taken yet.  */
 size_t http_unread (const http_exchange_t *exchange);
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -235,14 +235,25 @@
   return (int64_t)(sidecar->settings.stop_s * US_PER_S) - LAST_ANSWERS_US;
 }
 
-/* Whether somebody has not got all of what was written for them.  */
+/* Whether somebody has not got all of what was written for them, or is in the
+   middle of a request.  */
 static bool
-is_unsent (const sidecar_t *sidecar)
+is_busy (const sidecar_t *sidecar)
 {
-  return http_server_is_unsent (sidecar->callers)
+  return http_server_is_busy (sidecar->callers)
          || peer_set_is_unsent (sidecar->peers);
 }
 
+/* What is read from now on would get no answer.  */
+static void
+stop_reading (sidecar_t *sidecar)
+{
+  http_server_stop_reading (sidecar->callers);
+  http_server_stop_reading (sidecar->announce);
+  http_server_stop_reading (sidecar->ready);
+  http_server_stop_reading (sidecar->metrics);
+}
+
 static void
 next_phase (sidecar_t *sidecar)
 {
@@ -265,12 +276,13 @@
   bool drained = sidecar->phase == PHASE_DRAINING && open == 0
                  && age_us >= READY_NOTICE_US + CLOSING_US;
   bool ended = drained || sidecar->phase == PHASE_ENDING;
-  if ((ended && !is_unsent (sidecar)) || age_us >= most_us + LAST_BYTES_US)
+  if ((ended && !is_busy (sidecar)) || age_us >= most_us + LAST_BYTES_US)
     {
       event_log (&sidecar->log, EVENT_LIFE, "stopped",
                  "after-ms=%lld open=%u connections=%u",
                  (long long)(age_us / US_PER_MS), open,
                  http_server_state (sidecar->callers).connections);
+      stop_reading (sidecar);
       ev_break (sidecar->loop.ev, EVBREAK_ALL);
     }
 }
--- /dev/null
+++ b/tests/mesh_ends_test.cc
@@ -0,0 +1,187 @@
+/* What the end of one request, answer or process must not take with it.  */
+
+#include "support_edge.h"
+
+namespace
+{
+std::string
+get (const std::string &path, const char *version = "1.1")
+{
+  return "GET " + path + " HTTP/" + version + "\r\nHost: h\r\n\r\n";
+}
+
+/* --- an answer that breaks off ----------------------------------------- */
+
+/* Requests of one connection, all handed on, of which one breaks off.  */
+class Pipelined : public Loop
+{
+protected:
+  std::unique_ptr<Server> server;
+  std::unique_ptr<Caller> caller;
+
+  void
+  start (size_t requests)
+  {
+    server = std::make_unique<Server> (&loop, limits ());
+    caller = std::make_unique<Caller> (server->port ());
+    for (size_t i = 0; i < requests; i++)
+      caller->send (get ("/" + std::to_string (i)));
+    ASSERT_TRUE (wait ([&] { return server->open.size () == requests; }));
+  }
+  void
+  TearDown () override
+  {
+    caller.reset ();
+    server.reset ();
+    Loop::TearDown ();
+  }
+  void
+  answer (size_t number, const std::string &body)
+  {
+    http_respond (server->open[number], 200, nullptr, 0, body.data (),
+                  body.size ());
+  }
+  /* Half of an answer, then its end.  */
+  void
+  break_off (size_t number)
+  {
+    http_begin (server->open[number], 200, nullptr, 0, 10);
+    http_piece (server->open[number], "half", 4);
+    http_abort (server->open[number]);
+  }
+};
+
+TEST_F (Pipelined, AnAnswerThatBreaksOffDoesNotEndTheRequestsBeforeIt)
+{
+  start (3);
+  break_off (1);
+  ASSERT_EQ (0, server->gone);
+  answer (2, "third");
+  answer (0, "first");
+  EXPECT_TRUE (wait ([&] { return caller->has ("third"); }));
+  EXPECT_TRUE (caller->has ("first"));
+  EXPECT_TRUE (caller->has ("HTTP/1.1 502 "));
+  EXPECT_FALSE (caller->has ("half"));
+}
+
+TEST_F (Pipelined, AnAnswerThatBreaksOffDoesNotCutTheWholeAnswerBeforeIt)
+{
+  start (2);
+  answer (0, "first");
+  break_off (1);
+  EXPECT_TRUE (wait ([&] { return caller->is_over (); }));
+  EXPECT_TRUE (caller->has ("first"));
+}
+
+/* Its end is the connection's: only a reset tells it from a whole one.  */
+TEST_F (Loop, AnAnswerWithoutLengthToOldHttpDoesNotLookWholeWhenItBreaksOff)
+{
+  Server server (&loop, limits ());
+  Caller caller (server.port ());
+  caller.send (get ("/", "1.0"));
+  ASSERT_TRUE (wait ([&] { return server.open.size () == 1; }));
+  http_begin (server.open[0], 200, nullptr, 0, -1);
+  http_piece (server.open[0], "half", 4);
+  ASSERT_TRUE (wait ([&] { return caller.has ("half"); }));
+  http_abort (server.open[0]);
+  EXPECT_TRUE (wait ([&] { return caller.is_over () || caller.reset; }));
+  EXPECT_TRUE (caller.reset);
+}
+
+/* --- the end of a stop -------------------------------------------------- */
+
+/* As at the end of a stop: a timer ends the loop while requests that arrived
+   in the same turn are still to be read.  */
+TEST_F (Loop, ARequestThatArrivesAsTheLoopEndsIsNotRead)
+{
+  auto server = std::make_unique<Server> (&loop, limits ());
+  Caller caller (server->port ());
+  ASSERT_TRUE (wait (
+      [&] { return http_server_state (server->server).connections == 1; }));
+  struct
+  {
+    ev_timer timer;
+    http_server_t *server;
+  } last;
+  last.server = server->server;
+  ev_timer_init (
+      &last.timer,
+      [] (struct ev_loop *ev, ev_timer *timer, int) {
+        http_server_stop_reading (*(http_server_t **)timer->data);
+        ev_break (ev, EVBREAK_ALL);
+      },
+      0, 0);
+  last.timer.data = &last.server;
+  ev_timer_start (loop.ev, &last.timer);
+  caller.send (get ("/"));
+  ev_run (loop.ev, 0);
+  EXPECT_EQ (0u, server->targets.size ());
+  server.reset ();
+  EXPECT_TRUE (wait ([&] {
+    caller.has ("");
+    return caller.reset;
+  }));
+}
+
+/* The rest may have arrived already.  */
+TEST_F (Loop, AServerIsBusyWhileARequestIsHalfRead)
+{
+  Server server (&loop, limits ());
+  server.answer = [] (http_exchange_t *exchange) {
+    http_respond (exchange, 200, nullptr, 0, "ok", 2);
+  };
+  Caller caller (server.port ());
+  caller.send ("GET /half HTTP/1.1\r\nHost: h\r\n");
+  EXPECT_TRUE (wait ([&] { return http_server_is_busy (server.server); }));
+  caller.send ("\r\n");
+  EXPECT_TRUE (wait ([&] { return caller.has ("ok"); }));
+  EXPECT_TRUE (wait ([&] { return !http_server_is_busy (server.server); }));
+}
+
+class LastPlace : public Two, public testing::WithParamInterface<const char *>
+{
+};
+
+/* Where a run of A's own queue is refused, another server is there.  */
+TEST_P (LastPlace, NothingIsSentAnywhereAtTheEndOfAStop)
+{
+  start_a_beside_the_server ();
+  intake_server_t one = { 1, true, false, false, 0, 0 };
+  runner_set_server (a->runner, &one, "i");
+  Caller first (http_server_port (a->callers));
+  first.send (request ("GET", "/read/0", "id-0"));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  Caller second (http_server_port (a->callers));
+  second.send (request (GetParam (), "/book/1", "id-1"));
+  ASSERT_TRUE (wait ([&] { return entry_state (a->entry).open == 2; }));
+  peer_set_add (a->peers, peer_set_vm (b->peers));
+  ASSERT_TRUE (wait ([&] {
+    peer_set_tick (a->peers, true, true);
+    peer_set_tick (b->peers, true, true);
+    return placement_accepting (a->placement, "s") == 2;
+  }));
+  entry_set_stop (a->entry, loop.now_us - US_PER_S, loop.now_us);
+  runner_stop (a->runner);
+  entry_end_open (a->entry);
+  EXPECT_EQ (0u, entry_state (a->entry).remote);
+  EXPECT_TRUE (wait ([&] { return second.has ("\r\n\r\n"); }));
+  EXPECT_EQ (0u, second.got.find ("HTTP/1.1 503 ")) << second.got;
+}
+
+INSTANTIATE_TEST_SUITE_P (Table, LastPlace, testing::Values ("GET", "POST"),
+                          [] (const auto &row) {
+                            return std::string (row.param);
+                          });
+
+/* Health checks go on, and tell of the server again.  */
+TEST_F (Runs, NewsOfTheServerDoesNotUndoTheEndOfAStop)
+{
+  runner_stop (b->runner);
+  b->set_backend ("i");
+  forward_call_t made = call ("id-1", true);
+  run_t *run = nullptr;
+  EXPECT_EQ (START_REFUSED,
+             runner_start (b->runner, &made, &sink, &run, &failure));
+  EXPECT_EQ (CAUSE_LEAVING, failure.cause);
+}
+}
