Soak: callers with kept connections, planned work in series

soak_mesh sent each request through a pool that used the newest connection first and saw a close at once, so that a request hardly ever met the end of its connection, and it had no strict check for requests that end with a closed connection.

Callers now keep up to 40 connections with each sidecar and take the one that has rested longest, up to four fifths of the idle limit that they know; they hear of a new limit up to 2 s late, honour Connection: close, see what the server sends up to 40 ms late, and pipeline some reads. Some requests are written in two pieces. The final stop of all comes under load.

New among the faults: the configuration changes in seven ways (idle limit lowered and raised, time-outs, a route added, moved and removed, weights), settings files change with and without SIGHUP, and series overlap: SIGHUP and SIGTERM, SIGTERM amid changes, twice, while paused, several in turn.

New checks: while no unplanned fault was there for 3 s, a request that a backend server runs never ends with a closed connection, and no sidecar logs a connection-cut with requests unanswered or thrown away, except requests behind an answer that closes, which their callers know to be unread. An answer that no request waits for and a process that ends by itself count too.

--- a/tests/support_world.c
+++ b/tests/support_world.c
@@ -8,12 +8,14 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "edge/http_client.h"
 #include "edge/http_server.h"
 #include "rng.h"
+#include "support_callers.h"
 
 enum
 {
@@ -24,7 +26,19 @@
   WORK_MOST_MS = 60,
   SLOW_FACTOR = 10,
   TIMEOUT_MS = 2000,
-  RESERVED_MAX = WORLD_SIDECARS * 6,
+  ADDRS = 6, /* of each sidecar */
+  /* Callers hear of a new configuration this much later.  */
+  NEWS_LEAST_MS = 300,
+  NEWS_MOST_MS = 2000,
+  PIECE_PAUSE_MS = 150, /* at most, between two pieces of a request */
+  /* Without a fault for so long, all is calm.  A connection's end is logged
+     up to LOGGED_MS after it was decided.  */
+  CALM_US = 3 * US_PER_S,
+  CALM_MS = 3000,
+  LOGGED_MS = 1200,
+  SPANS_MAX = 256, /* of trouble */
+  LINE_BYTES = 2048,
+  EARLY_TERM = 128 + SIGTERM, /* ended before it began to listen for it */
   /* The users' bounds, and what a loaded machine adds to each.  */
   ZONE_OUT_US = 5 * US_PER_S,
   QUOTA_WINDOW_US = 5 * US_PER_S,
@@ -39,8 +53,12 @@
 typedef struct request_t
 {
   uint32_t runs;
+  int64_t sent_us;
   bool once;
-  bool limited; /* of the account with the small rate */
+  bool extra;      /* on a route that comes and goes */
+  bool second_key; /* may have been withdrawn meanwhile */
+  bool cut;        /* ended without an answer while all was calm */
+  bool limited;    /* of the account with the small rate */
   bool answered;
   bool promised; /* its caller was told that it has not run and will not */
   int64_t ran_us;
@@ -60,10 +78,18 @@
   endpoint_addr_t backend_addr;
   relay_t *links;
   relay_t *store_path;
-  http_client_t *client;
+  callers_t *client;
+  int64_t news_us; /* when its callers hear of the idle limit, or 0 */
   http_client_t *announcer;
   http_client_t *checker;
   bool is_ready;
+  bool wanted; /* starts again when it has ended */
+  bool killed;
+  bool paused;
+  relay_fault_t links_fault;
+  relay_fault_t store_path_fault;
+  double stop_s;
+  uint32_t memory_mb;
   int64_t trouble_us; /* a fault of it, when it last began or ended */
   /* The backend server beside it.  */
   http_server_t *backend;
@@ -87,6 +113,23 @@
   ev_timer timer;
 } work_t;
 
+/* Wall time in which an unplanned fault was there.  */
+typedef struct span_t
+{
+  int64_t from_ms;
+  int64_t to_ms;
+} span_t;
+
+/* What the operator's changes are made of.  */
+typedef struct rules_t
+{
+  int idle_s;
+  int timeout_s;
+  int read_weight; /* of ten that go to the first service */
+  int book;        /* service */
+  int extra;       /* service, or -1 when the route is not there */
+} rules_t;
+
 struct world_t
 {
   loop_t loop;
@@ -94,7 +137,13 @@
   uint64_t seed;
   char dir[128];
   fake_store_t *store;
-  sidecar_t sidecars[WORLD_SIDECARS];
+  fake_fault_t store_fault;
+  uint32_t count;
+  sidecar_t *sidecars;
+  rules_t rules;
+  int64_t unplanned_us; /* when a fault was last there */
+  span_t spans[SPANS_MAX];
+  uint32_t span_count;
   request_t *requests;
   uint32_t sent;
   uint64_t version;
@@ -104,34 +153,55 @@
   uint32_t rate;
   double owed;
   int64_t beat_us;
-  int reserved[RESERVED_MAX]; /* sockets */
+  int *reserved; /* sockets */
   uint32_t reserved_count;
   ev_timer tick;
   ev_timer end;
   world_result_t result;
 };
 
+/* The last one has no server.  */
+static const char *const services[] = { "planning", "dispatch", "stock" };
+
 static const char *
 service_of (int at)
 {
-  return at % 2 == 0 ? "planning" : "dispatch";
+  return services[at % 2];
 }
 
 static int
 zone_of (int at)
 {
-  return at / 2;
+  return at / 2 % WORLD_ZONES;
 }
 
+/* Whether no fault was there from CALM_US before SINCE_US on.  */
+static bool
+is_calm (const world_t *world, int64_t since_us)
+{
+  return world->unplanned_us + CALM_US < since_us;
+}
+
+/* The first one is told, the others are in a file beside the logs.  */
 static void __attribute__ ((format (printf, 2, 3)))
 violated (world_t *world, const char *format, ...)
 {
+  char text[sizeof world->result.first];
+  char path[256];
   va_list args;
-  if (world->result.violations++ > 0)
-    return;
   va_start (args, format);
-  vsnprintf (world->result.first, sizeof world->result.first, format, args);
+  vsnprintf (text, sizeof text, format, args);
   va_end (args);
+  if (world->result.violations++ == 0)
+    memcpy (world->result.first, text, sizeof text);
+  snprintf (path, sizeof path, "%s/violations.txt", world->dir);
+  FILE *file = fopen (path, "a");
+  if (file == NULL)
+    return;
+  int64_t wall_ms = clock_wall_ms (world->loop.clock);
+  fprintf (file, "time=%lld.%03d %s\n", (long long)(wall_ms / MS_PER_S),
+           (int)(wall_ms % MS_PER_S), text);
+  fclose (file);
 }
 
 /* --- backend servers --------------------------------------------------- */
@@ -184,6 +254,8 @@
     violated (world, "%u: ran for account '%s'", number, text);
   if (request->once && request->runs > 0)
     violated (world, "%u: ran twice, again at sidecar %d", number, at->number);
+  if (request->cut)
+    violated (world, "%u: ran after its connection had ended", number);
   if (request->promised)
     violated (world, "%u: ran after its caller was told that it did not",
               number);
@@ -361,43 +433,7 @@
     work_free (at->works);
 }
 
-/* --- calls to the sidecars --------------------------------------------- */
-
-typedef struct call_t
-{
-  world_t *world;
-  sidecar_t *at; /* of a readiness check, else NULL */
-  uint32_t number;
-  bool limited;
-  bool second_key; /* may have been withdrawn meanwhile */
-  int status;
-  bool signed_;
-  bytes_t body;
-} call_t;
-
-static http_verdict_t
-on_head (void *ctx, int status, const fields_t *fields, int64_t length)
-{
-  call_t *call = ctx;
-  (void)length;
-  call->status = status;
-  call->signed_ = fields_find (fields, "X-Server-Signature") != NULL;
-  return HTTP_TAKE;
-}
-
-static void
-on_body (void *ctx, const char *data, size_t size)
-{
-  call_t *call = ctx;
-  bytes_append (&call->body, data, size);
-}
-
-static void
-call_free (call_t *call)
-{
-  bytes_free (&call->body);
-  free (call);
-}
+/* --- callers ----------------------------------------------------------- */
 
 static bool
 promises_not_run (int status)
@@ -406,119 +442,141 @@
 }
 
 static void
-take_answer (call_t *call)
+take_success (world_t *world, uint32_t number, const callers_answer_t *answer)
 {
-  world_t *world = call->world;
-  request_t *request = &world->requests[call->number];
   char body[64];
-  int size = snprintf (body, sizeof body, "answer to %u", call->number);
-  request->answered = true;
-  if (call->status >= 200 && call->status < 300)
-    {
-      world->result.answered++;
-      if (!call->signed_ || bytes_size (&call->body) != (size_t)size
-          || memcmp (bytes_data (&call->body), body, (size_t)size) != 0)
-        violated (world, "%u: another answer than its own", call->number);
-      if (request->runs == 0)
-        violated (world, "%u: answered and never ran", call->number);
-      return;
-    }
-  if (promises_not_run (call->status))
-    {
-      world->result.refused++;
-      request->promised = request->once;
-      if (request->once && request->runs > 0)
-        violated (world, "%u: ran, and its caller was told %d", call->number,
-                  call->status);
-      return;
-    }
-  world->result.unknown++;
-  if (call->status == 404 || call->status == 400
-      || (call->status == 401 && !call->second_key))
-    violated (world, "%u: %d for a proper request", call->number,
-              call->status);
+  int size = snprintf (body, sizeof body, "answer to %u", number);
+  world->result.answered++;
+  if (fields_find (answer->fields, "X-Server-Signature") == NULL
+      || bytes_size (answer->body) != (size_t)size
+      || memcmp (bytes_data (answer->body), body, (size_t)size) != 0)
+    violated (world, "%u: another answer than its own", number);
+  if (world->requests[number].runs == 0)
+    violated (world, "%u: answered and never ran", number);
 }
 
 static void
-on_end (void *ctx)
+take_refusal (world_t *world, uint32_t number, int status)
 {
-  call_t *call = ctx;
-  if (call->at == NULL)
-    take_answer (call);
-  else
-    call->at->is_ready = call->status == 200;
-  call_free (call);
+  request_t *request = &world->requests[number];
+  world->result.refused++;
+  request->promised = request->once;
+  if (request->once && request->runs > 0)
+    violated (world, "%u: ran, and its caller was told %d", number, status);
 }
 
 static void
-on_fault (void *ctx, http_fault_t fault)
+take_answer (void *ctx, uint32_t number, const callers_answer_t *answer)
 {
-  call_t *call = ctx;
-  (void)fault;
-  if (call->at != NULL)
-    call->at->is_ready = false;
+  world_t *world = ((sidecar_t *)ctx)->world;
+  request_t *request = &world->requests[number];
+  int status = answer->status;
+  if (request->answered)
+    violated (world, "%u: answered twice", number);
+  request->answered = true;
+  if (status >= 200 && status < 300)
+    take_success (world, number, answer);
+  else if (promises_not_run (status))
+    take_refusal (world, number, status);
   else
-    {
-      call->world->result.unknown++;
-      call->world->requests[call->number].answered = true;
-    }
-  call_free (call);
+    world->result.unknown++;
+  if ((status == 404 && !request->extra) || status == 400 || status == 413
+      || status == 431 || (status == 401 && !request->second_key))
+    violated (world, "%u: %d for a proper request", number, status);
 }
 
 static void
-send_call (call_t *call, http_client_t *client, const bytes_t *head,
-           const char *body)
+take_end (void *ctx, uint32_t number, callers_end_t end)
 {
-  http_reply_handler_t handler = { on_head, on_body, on_end, on_fault, call };
-  http_request_t request = { .head = bytes_data (head),
-                             .head_size = bytes_size (head),
-                             .body = body,
-                             .body_size = strlen (body) };
-  http_client_call (client, &request, &handler);
+  world_t *world = ((sidecar_t *)ctx)->world;
+  request_t *request = &world->requests[number];
+  request->answered = true;
+  world->result.unknown++;
+  world->result.closed += end == CALLERS_CLOSED;
+  request->cut = is_calm (world, request->sent_us);
+  if (request->cut && request->runs > 0)
+    violated (world, "%u: ran, and its connection ended without an answer",
+              number);
 }
 
-static call_t *
-call_new (world_t *world, sidecar_t *at)
+static void
+take_stray (void *ctx)
 {
-  call_t *call = calloc (1, sizeof *call);
-  if (call == NULL)
-    abort ();
-  call->world = world;
-  call->at = at;
-  return call;
+  sidecar_t *at = ctx;
+  violated (at->world, "sidecar %d sent what no request waits for",
+            at->number);
 }
 
-/* A caller's request to any sidecar that runs.  */
-static void
-send_request (world_t *world)
+/* Writes the next request to TEXT.  */
+static uint32_t
+next_request (world_t *world, bool once, bytes_t *text)
 {
-  bytes_t head = { 0 };
-  sidecar_t *at = &world->sidecars[rng_below (&world->rng, WORLD_SIDECARS)];
-  if (world->sent == WORLD_REQUESTS_MAX || at->proc.pid == 0)
-    return;
-  call_t *call = call_new (world, NULL);
-  call->number = world->sent++;
-  request_t *request = &world->requests[call->number];
-  request->once = rng_chance (&world->rng, 0.4);
+  uint32_t number = world->sent++;
+  request_t *request = &world->requests[number];
+  request->sent_us = world->loop.now_us;
+  request->once = once;
+  request->extra = !once && rng_chance (&world->rng, 0.15);
   request->limited = rng_chance (&world->rng, 0.3);
-  call->second_key = !request->limited && rng_chance (&world->rng, 0.2);
+  request->second_key = !request->limited && rng_chance (&world->rng, 0.2);
   char key[32] = "first-key";
   if (request->limited)
     snprintf (key, sizeof key, "small-key");
-  else if (call->second_key)
+  else if (request->second_key)
     snprintf (key, sizeof key, "key-%llu",
               (unsigned long long)world->key_number);
-  bytes_format (&head,
+  bytes_format (text,
                 "%s /%s/%u HTTP/1.1\r\nHost: soak.example\r\n"
                 "X-Attempt-Id: soak-%u\r\nX-Timeout-Ms: %d\r\n"
-                "X-Credential: %s\r\nContent-Length: 4\r\n\r\n",
-                request->once ? "POST" : "GET",
-                request->once ? "book" : "read", call->number, call->number,
-                TIMEOUT_MS, key);
-  send_call (call, at->client, &head, "body");
-  bytes_free (&head);
+                "X-Credential: %s\r\nContent-Length: 4\r\n\r\nbody",
+                once ? "POST" : "GET",
+                once             ? "book"
+                : request->extra ? "extra"
+                                 : "read",
+                number, number, TIMEOUT_MS, key);
+  return number;
+}
+
+/* A caller's request, or a few, to any sidecar that runs.  */
+static void
+send_request (world_t *world)
+{
+  const rng_t *rng = &world->rng;
+  bytes_t text = { 0 };
+  uint32_t numbers[CALLERS_PIPELINED];
+  callers_request_t request = { .numbers = numbers, .text = &text };
+  sidecar_t *at = &world->sidecars[rng_below (rng, world->count)];
+  if (world->sent + CALLERS_PIPELINED > WORLD_REQUESTS_MAX || at->proc.pid == 0
+      || !callers_have_room (at->client))
+    return;
+  bool once = rng_chance (rng, 0.4);
+  uint32_t count = 1;
+  if (!once && rng_chance (rng, 0.1))
+    count += 1 + (uint32_t)rng_below (rng, CALLERS_PIPELINED - 1);
+  while (request.count < count)
+    numbers[request.count++] = next_request (world, once, &text);
+  request.split = (size_t)rng_below (rng, bytes_size (&text));
+  if (rng_chance (rng, 0.1))
+    request.pause_us
+        = (1 + (int64_t)rng_below (rng, PIECE_PAUSE_MS)) * US_PER_MS;
+  callers_send (at->client, &request);
+  bytes_free (&text);
+}
+
+static bool
+sidecar_start (sidecar_t *at)
+{
+  const char *args[] = { "sidecar", "--settings", at->settings, NULL };
+  char path[256];
+  snprintf (path, sizeof path, "%s/sidecar-%d.log", at->world->dir,
+            at->number);
+  int log = open (path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  bool started = proc_start_logged (&at->proc, "redwingford", args, log);
+  close (log);
+  return started;
 }
 
+/* --- the platform's calls ---------------------------------------------- */
+
 static void
 ignore_body (void *ctx, const char *data, size_t size)
 {
@@ -577,63 +635,222 @@
   bytes_free (&head);
 }
 
+static http_verdict_t
+on_ready_head (void *ctx, int status, const fields_t *fields, int64_t length)
+{
+  sidecar_t *at = ctx;
+  (void)fields;
+  (void)length;
+  at->is_ready = status == 200;
+  return HTTP_TAKE;
+}
+
+static void
+on_ready_fault (void *ctx, http_fault_t fault)
+{
+  sidecar_t *at = ctx;
+  (void)fault;
+  at->is_ready = false;
+}
+
 static void
 check_ready (sidecar_t *at)
 {
   static const char text[] = "GET /-/ready HTTP/1.1\r\nHost: ready\r\n\r\n";
-  bytes_t head = { 0 };
-  bytes_append (&head, text, sizeof text - 1);
-  send_call (call_new (at->world, at), at->checker, &head, "");
-  bytes_free (&head);
+  http_reply_handler_t handler
+      = { on_ready_head, ignore_body, ignore_end, on_ready_fault, at };
+  http_request_t request = { .head = text, .head_size = sizeof text - 1 };
+  http_client_call (at->checker, &request, &handler);
+}
+
+/* --- time -------------------------------------------------------------- */
+
+/* Whether the fleet is under a fault that nobody planned.  */
+static bool
+is_troubled (const world_t *world)
+{
+  if (world->store_fault != FAKE_WELL)
+    return true;
+  for (uint32_t i = 0; i < world->count; i++)
+    {
+      const sidecar_t *at = &world->sidecars[i];
+      if (at->killed || at->paused || at->links_fault != RELAY_WELL
+          || at->store_path_fault != RELAY_WELL || at->fault != BACKEND_WELL)
+        return true;
+    }
+  return false;
+}
+
+static void
+note_trouble (world_t *world)
+{
+  int64_t now_ms = clock_wall_ms (world->loop.clock);
+  span_t *last = world->spans + world->span_count - 1;
+  world->unplanned_us = world->loop.now_us;
+  if (world->span_count > 0 && now_ms - last->to_ms < CALM_MS)
+    last->to_ms = now_ms;
+  else if (world->span_count < SPANS_MAX)
+    world->spans[world->span_count++] = (span_t){ now_ms, now_ms };
+}
+
+/* Notes how a process ended; whether it runs.  */
+static bool
+check_running (sidecar_t *at)
+{
+  if (at->proc.pid == 0)
+    return false;
+  int status = proc_wait (&at->proc, 0);
+  if (status < 0)
+    return true;
+  at->is_ready = false;
+  at->paused = false;
+  bool planned = status == 0 || status == EARLY_TERM;
+  if (!at->killed && !planned)
+    violated (at->world, "sidecar %d ended with status %d", at->number,
+              status);
+  return false;
+}
+
+static void
+tend (sidecar_t *at)
+{
+  bool runs = check_running (at);
+  if (!runs && at->wanted)
+    {
+      at->killed = false;
+      at->wanted = false;
+      runs = sidecar_start (at);
+    }
+  if (runs && at->backend != NULL)
+    beat (at);
+  if (runs)
+    check_ready (at);
 }
 
 static void
 on_tick (struct ev_loop *ev, ev_timer *timer, int events)
 {
   world_t *world = timer->data;
+  int64_t now_us = world->loop.now_us;
   (void)ev;
   (void)events;
+  if (is_troubled (world))
+    note_trouble (world);
   world->owed += world->rate * (double)TICK_US / US_PER_S;
   for (; world->owed >= 1; world->owed--)
     send_request (world);
-  if (world->loop.now_us - world->beat_us >= BEAT_US)
+  for (uint32_t i = 0; i < world->count; i++)
     {
-      world->beat_us = world->loop.now_us;
-      for (int i = 0; i < WORLD_SIDECARS; i++)
-        {
-          sidecar_t *at = &world->sidecars[i];
-          if (at->proc.pid != 0 && at->backend != NULL)
-            beat (at);
-          if (at->proc.pid != 0)
-            check_ready (at);
-        }
+      sidecar_t *at = &world->sidecars[i];
+      if (at->news_us == 0 || now_us < at->news_us)
+        continue;
+      callers_set_idle_limit (at->client, world->rules.idle_s * US_PER_S);
+      at->news_us = 0;
+    }
+  if (now_us - world->beat_us >= BEAT_US)
+    {
+      world->beat_us = now_us;
+      for (uint32_t i = 0; i < world->count; i++)
+        tend (&world->sidecars[i]);
     }
   loop_timer (&world->loop, timer, TICK_US);
 }
 
 /* --- the operator ------------------------------------------------------ */
 
-void
-world_publish (world_t *world)
+static void
+write_route (bytes_t *to, const char *name, const char *kind, int timeout_s)
 {
-  char text[2048];
+  bytes_format (to,
+                "\"%s\":{\"host\":\"soak.example\",\"pathPrefix\":\"/%s/\","
+                "\"kind\":\"%s\",\"timeoutS\":%d,\"targetLatencyS\":1,"
+                "\"priority\":%d,\"attempts\":2,",
+                name, name, kind, timeout_s,
+                strcmp (kind, "safe") == 0 ? 2 : 0);
+}
+
+static void
+publish (world_t *world)
+{
+  const rules_t *rules = &world->rules;
+  bytes_t text = { 0 };
   world->key_number = ++world->version;
-  snprintf (text, sizeof text,
-            "{\"version\":%llu,\"routes\":{"
-            "\"book\":{\"host\":\"soak.example\",\"pathPrefix\":\"/book/\","
-            "\"kind\":\"unsafe\",\"timeoutS\":2,\"targetLatencyS\":1,"
-            "\"priority\":0,\"service\":\"dispatch\",\"attempts\":2},"
-            "\"read\":{\"host\":\"soak.example\",\"pathPrefix\":\"/read/\","
-            "\"kind\":\"safe\",\"timeoutS\":2,\"targetLatencyS\":1,"
-            "\"priority\":2,\"service\":\"planning\",\"attempts\":2}},"
-            "\"services\":{\"planning\":{\"healthCheckPath\":\"/health\"},"
-            "\"dispatch\":{\"healthCheckPath\":\"/health\"}},"
-            "\"tenants\":{\"large\":{\"apiKeys\":[\"first-key\","
-            "\"key-%llu\"]},\"small\":{\"apiKeys\":[\"small-key\"],"
-            "\"ratePerS\":%d,\"burst\":%d}}}",
-            (unsigned long long)world->version,
-            (unsigned long long)world->key_number, QUOTA_RATE, QUOTA_BURST);
-  fake_store_put (world->store, OPERATOR_TOPIC, "config", text);
+  bytes_format (&text,
+                "{\"version\":%llu,\"limits\":{\"idleTimeoutS\":%d,"
+                "\"headerTimeoutS\":%d},\"routes\":{",
+                (unsigned long long)world->version, rules->idle_s,
+                rules->timeout_s);
+  write_route (&text, "book", "unsafe", rules->timeout_s);
+  bytes_format (&text, "\"service\":\"%s\"},", services[rules->book]);
+  if (rules->extra >= 0)
+    {
+      write_route (&text, "extra", "safe", rules->timeout_s);
+      bytes_format (&text, "\"service\":\"%s\"},", services[rules->extra]);
+    }
+  write_route (&text, "read", "safe", rules->timeout_s);
+  bytes_format (&text,
+                "\"trafficSplit\":[{\"service\":\"planning\",\"weight\":%d},"
+                "{\"service\":\"dispatch\",\"weight\":%d}]}},",
+                rules->read_weight, 10 - rules->read_weight);
+  bytes_format (&text,
+                "\"services\":{\"planning\":{\"healthCheckPath\":\"/health\"},"
+                "\"dispatch\":{\"healthCheckPath\":\"/health\"},"
+                "\"stock\":{\"healthCheckPath\":\"/health\"}},"
+                "\"tenants\":{\"large\":{\"apiKeys\":[\"first-key\","
+                "\"key-%llu\"]},\"small\":{\"apiKeys\":[\"small-key\"],"
+                "\"ratePerS\":%d,\"burst\":%d}}}",
+                (unsigned long long)world->key_number, QUOTA_RATE,
+                QUOTA_BURST);
+  bytes_append (&text, "", 1);
+  fake_store_put (world->store, OPERATOR_TOPIC, "config", bytes_data (&text));
+  bytes_free (&text);
+}
+
+static void
+tell_callers (world_t *world)
+{
+  for (uint32_t i = 0; i < world->count; i++)
+    world->sidecars[i].news_us
+        = world->loop.now_us
+          + (NEWS_LEAST_MS
+             + (int64_t)rng_below (&world->rng, NEWS_MOST_MS - NEWS_LEAST_MS))
+                * US_PER_MS;
+}
+
+void
+world_change (world_t *world, world_change_t change)
+{
+  rules_t *rules = &world->rules;
+  int old_s = rules->idle_s;
+  switch (change)
+    {
+    case CHANGE_IDLE_LOWER:
+      rules->idle_s = rules->idle_s > 1 ? rules->idle_s / 2 : 1;
+      break;
+    case CHANGE_IDLE_RAISE:
+      rules->idle_s = rules->idle_s < 4 ? rules->idle_s * 2 : 4;
+      break;
+    case CHANGE_TIMEOUTS:
+      rules->timeout_s = 1 + (int)rng_below (&world->rng, 4);
+      break;
+    case CHANGE_ROUTE_ADD:
+      rules->extra = (int)rng_below (&world->rng, 3);
+      break;
+    case CHANGE_ROUTE_REMOVE:
+      rules->extra = -1;
+      break;
+    case CHANGE_ROUTE_MOVE:
+      rules->book = 1 - rules->book;
+      break;
+    case CHANGE_WEIGHTS:
+      rules->read_weight = (int)rng_below (&world->rng, 11);
+      break;
+    default:
+      break;
+    }
+  publish (world);
+  if (rules->idle_s != old_s)
+    tell_callers (world);
 }
 
 void
@@ -658,7 +875,7 @@
       = loop_sockaddr ((endpoint_addr_t){ INADDR_LOOPBACK, 0 });
   socklen_t size = sizeof at;
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  if (fd < 0 || world->reserved_count == RESERVED_MAX
+  if (fd < 0 || world->reserved_count == world->count * ADDRS
       || setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0
       || bind (fd, (struct sockaddr *)&at, sizeof at) != 0
       || getsockname (fd, (struct sockaddr *)&at, &size) != 0)
@@ -679,28 +896,16 @@
            "\"announce\":\"127.0.0.1:%u\",\"peer\":\"127.0.0.1:%u\","
            "\"peer_bind\":\"127.0.0.1:%u\",\"metrics\":\"127.0.0.1:%u\","
            "\"backend\":\"127.0.0.1:%u\",\"store\":\"127.0.0.1:%u\","
-           "\"stop_s\":4,\"retry_share\":0.2,\"retry_reserve\":20,"
-           "\"rate_window_s\":5,\"memory_mb\":128}\n",
+           "\"stop_s\":%g,\"retry_share\":0.2,\"retry_reserve\":20,"
+           "\"rate_window_s\":5,\"memory_mb\":%u}\n",
            at->number, zone_of (at->number), service_of (at->number),
            at->callers.port, at->ready.port, at->announce.port,
            relay_port (at->links), at->bind.port, at->metrics.port,
-           at->backend_addr.port, relay_port (at->store_path));
+           at->backend_addr.port, relay_port (at->store_path), at->stop_s,
+           at->memory_mb);
   fclose (file);
 }
 
-static bool
-sidecar_start (sidecar_t *at)
-{
-  const char *args[] = { "sidecar", "--settings", at->settings, NULL };
-  char path[256];
-  snprintf (path, sizeof path, "%s/sidecar-%d.log", at->world->dir,
-            at->number);
-  int log = open (path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-  bool started = proc_start_logged (&at->proc, "redwingford", args, log);
-  close (log);
-  return started;
-}
-
 static void
 sidecar_open (world_t *world, int number)
 {
@@ -710,6 +915,8 @@
   endpoint_addr_t store = { INADDR_LOOPBACK, fake_store_port (world->store) };
   at->world = world;
   at->number = number;
+  at->stop_s = 4;
+  at->memory_mb = 128;
   snprintf (at->settings, sizeof at->settings, "%s/sidecar-%d.json",
             world->dir, number);
   at->callers = reserve_addr (world);
@@ -721,58 +928,70 @@
   backend_open (at);
   at->links = relay_new (&world->loop, at->bind);
   at->store_path = relay_new (&world->loop, store);
-  at->client = http_client_new (&world->loop, at->callers, &options);
+  callers_handler_t callers = { take_answer, take_end, take_stray, at };
+  at->client = callers_new (&world->loop, &world->rng, at->callers, &callers);
+  callers_set_idle_limit (at->client, world->rules.idle_s * US_PER_S);
   at->announcer = http_client_new (&world->loop, at->announce, &options);
   at->checker = http_client_new (&world->loop, at->ready, &options);
   write_settings (at);
 }
 
 void
-world_signal (world_t *world, int at, int signal_number)
+world_signal (world_t *world, int number, int signal_number)
 {
-  world->sidecars[at].trouble_us = world->loop.now_us;
-  proc_signal (&world->sidecars[at].proc, signal_number);
+  sidecar_t *at = &world->sidecars[number];
+  at->trouble_us = world->loop.now_us;
+  if (!check_running (at))
+    return;
+  proc_signal (&at->proc, signal_number);
+  if (signal_number == SIGKILL)
+    at->killed = true;
+  else if (signal_number == SIGSTOP)
+    at->paused = true;
+  else if (signal_number == SIGCONT)
+    at->paused = false;
 }
 
-bool
-world_is_running (world_t *world, int at)
+void
+world_restart (world_t *world, int at)
 {
-  proc_t *proc = &world->sidecars[at].proc;
-  return proc->pid != 0 && proc_wait (proc, 0) < 0;
+  world->sidecars[at].trouble_us = world->loop.now_us;
+  world->sidecars[at].wanted = true;
 }
 
 void
-world_restart (world_t *world, int at)
+world_change_settings (world_t *world, int number)
 {
-  world->sidecars[at].trouble_us = world->loop.now_us;
-  if (!world_is_running (world, at))
-    sidecar_start (&world->sidecars[at]);
+  static const double stop_s[] = { 4, 5, 6 };
+  sidecar_t *at = &world->sidecars[number];
+  at->stop_s = stop_s[rng_below (&world->rng, 3)];
+  at->memory_mb = 96 + 32 * (uint32_t)rng_below (&world->rng, 3);
+  write_settings (at);
 }
 
 bool
-world_stop_all (world_t *world)
+world_stop_all (world_t *world, uint32_t rate)
 {
-  bool whole = true;
-  for (int i = 0; i < WORLD_SIDECARS; i++)
-    proc_signal (&world->sidecars[i].proc, SIGTERM);
-  for (int i = 0; i < WORLD_SIDECARS; i++)
+  for (uint32_t i = 0; i < world->count; i++)
     {
-      proc_t *proc = &world->sidecars[i].proc;
-      int status = -1;
-      for (int64_t ms = 0; status < 0 && ms < PROC_WAIT_MS; ms += 50)
-        {
-          world_run (world, 50, 0);
-          status = proc_wait (proc, 0);
-        }
-      whole = whole && status == 0;
+      world->sidecars[i].wanted = false;
+      world_signal (world, (int)i, SIGTERM);
     }
-  return whole;
+  for (uint32_t i = 0; i < world->count; i++)
+    for (int64_t ms = 0; check_running (&world->sidecars[i]); ms += 50)
+      {
+        if (ms >= PROC_WAIT_MS)
+          return false;
+        world_run (world, 50, rate);
+      }
+  return true;
 }
 
 void
 world_set_links (world_t *world, int at, relay_fault_t fault)
 {
   world->sidecars[at].trouble_us = world->loop.now_us;
+  world->sidecars[at].links_fault = fault;
   relay_set_fault (world->sidecars[at].links, fault);
 }
 
@@ -780,6 +999,7 @@
 world_set_store_path (world_t *world, int at, relay_fault_t fault)
 {
   world->sidecars[at].trouble_us = world->loop.now_us;
+  world->sidecars[at].store_path_fault = fault;
   relay_set_fault (world->sidecars[at].store_path, fault);
 }
 
@@ -787,6 +1007,7 @@
 world_set_store (world_t *world, fake_fault_t fault)
 {
   world->trouble_us = world->loop.now_us;
+  world->store_fault = fault;
   fake_store_set_fault (world->store, fault);
 }
 
@@ -794,6 +1015,7 @@
 world_forget_history (world_t *world)
 {
   world->trouble_us = world->loop.now_us;
+  note_trouble (world);
   fake_store_forget (world->store);
 }
 
@@ -831,7 +1053,7 @@
 bool
 world_is_ready (world_t *world)
 {
-  for (int i = 0; i < WORLD_SIDECARS; i++)
+  for (uint32_t i = 0; i < world->count; i++)
     if (!world->sidecars[i].is_ready)
       return false;
   return true;
@@ -843,18 +1065,85 @@
   return &world->loop;
 }
 
+/* --- the processes' logs ------------------------------------------------ */
+
+static bool
+was_calm (const world_t *world, int64_t wall_ms)
+{
+  for (uint32_t i = 0; i < world->span_count; i++)
+    if (wall_ms >= world->spans[i].from_ms
+        && wall_ms < world->spans[i].to_ms + CALM_MS + LOGGED_MS)
+      return false;
+  return true;
+}
+
+static unsigned
+number_in (const char *line, const char *key)
+{
+  const char *at = strstr (line, key);
+  return at != NULL ? (unsigned)strtoul (at + strlen (key), NULL, 10) : 0;
+}
+
+/* A request was read and nobody had the duty to answer it.  What a caller
+   wrote behind a request whose answer ends the connection counts as unread,
+   which the caller knows: CLOSED_BEHIND takes these.  */
+static void
+check_line (sidecar_t *at, const char *line, uint64_t *closed_behind)
+{
+  long long s = 0;
+  int ms = 0;
+  if (strstr (line, " event=connection-cut ") == NULL
+      || sscanf (line, "time=%lld.%d", &s, &ms) != 2
+      || !was_calm (at->world, s * 1000 + ms))
+    return;
+  unsigned late = number_in (line, " late-requests=");
+  if (strstr (line, " end=answered ") != NULL)
+    *closed_behind += late;
+  else if (late > 0)
+    violated (at->world, "requests were thrown away: %s", line);
+  if (number_in (line, " unanswered=") > 0)
+    violated (at->world, "requests were not answered: %s", line);
+}
+
+static void
+check_log (sidecar_t *at)
+{
+  char path[256];
+  char line[LINE_BYTES];
+  uint64_t closed_behind = 0;
+  snprintf (path, sizeof path, "%s/sidecar-%d.log", at->world->dir,
+            at->number);
+  FILE *file = fopen (path, "r");
+  if (file == NULL)
+    return;
+  while (fgets (line, sizeof line, file) != NULL)
+    {
+      line[strcspn (line, "\n")] = '\0';
+      check_line (at, line, &closed_behind);
+    }
+  fclose (file);
+  if (closed_behind > callers_behind (at->client))
+    violated (at->world,
+              "sidecar %d threw %llu requests away behind an answer, of "
+              "which its callers know %llu",
+              at->number, (unsigned long long)closed_behind,
+              (unsigned long long)callers_behind (at->client));
+}
+
 world_result_t
 world_result (world_t *world, bool at_end)
 {
   for (uint32_t i = 0; at_end && i < world->sent; i++)
     if (!world->requests[i].answered)
       violated (world, "%u: its caller never heard", i);
+  for (uint32_t i = 0; at_end && i < world->count; i++)
+    check_log (&world->sidecars[i]);
   world->result.sent = world->sent;
   return world->result;
 }
 
 world_t *
-world_new (uint64_t seed, const char *dir)
+world_new (uint64_t seed, uint32_t count, const char *dir)
 {
   world_t *world = calloc (1, sizeof *world);
   error_info_t error = { .kind = ERROR_NONE };
@@ -867,10 +1156,16 @@
     abort ();
   snprintf (world->dir, sizeof world->dir, "%s", dir);
   world->store = fake_store_new (&world->loop);
-  world_publish (world);
-  for (int i = 0; i < WORLD_SIDECARS; i++)
+  world->count = count;
+  world->sidecars = calloc (count, sizeof *world->sidecars);
+  world->reserved = calloc ((size_t)count * ADDRS, sizeof *world->reserved);
+  if (world->sidecars == NULL || world->reserved == NULL)
+    abort ();
+  world->rules = (rules_t){ 2, 2, 8, 1, -1 };
+  publish (world);
+  for (uint32_t i = 0; i < world->count; i++)
     {
-      sidecar_open (world, i);
+      sidecar_open (world, (int)i);
       if (!sidecar_start (&world->sidecars[i]))
         {
           world_free (world);
@@ -886,12 +1181,12 @@
 void
 world_free (world_t *world)
 {
-  for (int i = 0; i < WORLD_SIDECARS; i++)
+  for (uint32_t i = 0; i < world->count; i++)
     {
       sidecar_t *at = &world->sidecars[i];
       if (at->proc.pid != 0)
         proc_kill (&at->proc);
-      http_client_free (at->client);
+      callers_free (at->client);
       http_client_free (at->announcer);
       http_client_free (at->checker);
       http_server_free (at->backend);
@@ -905,5 +1200,7 @@
   loop_close (&world->loop);
   rng_seeded_free (&world->rng);
   free (world->requests);
+  free (world->sidecars);
+  free (world->reserved);
   free (world);
 }
--- a/tests/support_world.h
+++ b/tests/support_world.h
@@ -14,15 +14,15 @@
 enum
 {
   WORLD_ZONES = 3,
-  WORLD_SIDECARS = 6, /* two services, one server of each in each zone */
-  WORLD_REQUESTS_MAX = 20000
+  WORLD_SIDECARS = 6, /* at least; two services, spread over the zones */
+  WORLD_REQUESTS_MAX = 100000
 };
 
 typedef struct world_t world_t;
 
-/* Starts the fleet.  DIR takes the processes' logs.  False when a process
-   cannot be started.  */
-world_t *world_new (uint64_t seed, const char *dir);
+/* Starts a fleet of COUNT sidecars.  DIR takes the processes' logs and a list
+   of violations.  NULL when a process cannot be started.  */
+world_t *world_new (uint64_t seed, uint32_t count, const char *dir);
 /* Ends all that was started.  */
 void world_free (world_t *world);
 
@@ -36,10 +36,10 @@
 
 /* Faults.  AT is a sidecar.  */
 void world_signal (world_t *world, int at, int signal_number);
-bool world_is_running (world_t *world, int at);
-void world_restart (world_t *world, int at); /* if it has ended */
-/* Ends all by SIGTERM; whether each ended by itself with status 0.  */
-bool world_stop_all (world_t *world);
+void world_restart (world_t *world, int at);         /* once it has ended */
+void world_change_settings (world_t *world, int at); /* in its file */
+/* Ends all by SIGTERM, while callers send on; whether each ended.  */
+bool world_stop_all (world_t *world, uint32_t rate);
 void world_set_links (world_t *world, int at, relay_fault_t fault);
 void world_set_store_path (world_t *world, int at, relay_fault_t fault);
 void world_set_store (world_t *world, fake_fault_t fault);
@@ -60,7 +60,22 @@
 
 /* The operator.  */
 void world_set_zone_out (world_t *world, int zone, bool out);
-void world_publish (world_t *world); /* a new version, another second key */
+
+/* Each is a new version with another second key.  */
+typedef enum world_change_t
+{
+  CHANGE_NOTHING,
+  CHANGE_IDLE_LOWER, /* callers hear of the idle limit later */
+  CHANGE_IDLE_RAISE,
+  CHANGE_TIMEOUTS,
+  CHANGE_ROUTE_ADD, /* or move: a route that only some requests use */
+  CHANGE_ROUTE_REMOVE,
+  CHANGE_ROUTE_MOVE,
+  CHANGE_WEIGHTS,
+  CHANGE_COUNT
+} world_change_t;
+
+void world_change (world_t *world, world_change_t change);
 
 typedef struct world_result_t
 {
@@ -68,6 +83,7 @@
   uint64_t answered;
   uint64_t refused;
   uint64_t unknown;
+  uint64_t closed; /* of the unknown: written whole, then a close */
   uint64_t runs;
   uint64_t violations;
   char first[512]; /* violation */
