Soak: long runs, long answers and slow readers

Three of a hundred runs last up to 1.5 s, one request in forty has an answer of 300 KB, and three of ten connections take it in small pieces.

--- a/tests/support_callers.c
+++ b/tests/support_callers.c
@@ -9,9 +9,10 @@
 enum
 {
   BLOCK_BYTES = 16 * 1024,
-  KEPT = 40,            /* connections, while these suffice */
-  OPEN = 120,           /* at most */
-  LATENCY_MOST_MS = 40, /* from the server */
+  KEPT = 40,             /* connections, while these suffice */
+  OPEN = 120,            /* at most */
+  LATENCY_MOST_MS = 40,  /* from the server */
+  SLOW_BYTES = 8 * 1024, /* that a slow reader's machine takes */
   SILENCE_MS = 5000
 };
 
@@ -238,8 +239,11 @@
 connection_open (callers_t *callers)
 {
   int fd = loop_connect (callers->addr, SILENCE_MS);
+  int taken = SLOW_BYTES;
   if (fd < 0)
     return NULL;
+  if (rng_chance (callers->rng, 0.3))
+    setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &taken, sizeof taken);
   connection_t *connection = calloc (1, sizeof *connection);
   if (connection == NULL)
     abort ();
--- a/tests/support_world.c
+++ b/tests/support_world.c
@@ -24,6 +24,10 @@
   TICK_US = 5 * US_PER_MS,
   WORK_LEAST_MS = 5,
   WORK_MOST_MS = 60,
+  LONG_LEAST_MS = 200, /* some runs last longer */
+  LONG_MOST_MS = 1500,
+  LARGE_BYTES = 300 * 1024, /* some answers are this long */
+  LARGE_EVERY = 40,
   SLOW_FACTOR = 10,
   TIMEOUT_MS = 2000,
   ADDRS = 6, /* of each sidecar */
@@ -299,6 +303,15 @@
   free (work);
 }
 
+/* The answer to a request, the same each time that it runs.  */
+static void
+write_body (bytes_t *to, uint32_t number)
+{
+  bytes_format (to, "answer to %u", number);
+  while (number % LARGE_EVERY == 0 && bytes_size (to) < LARGE_BYTES)
+    bytes_format (to, ", %u and %zu", number, bytes_size (to));
+}
+
 static void
 on_work_done (struct ev_loop *ev, ev_timer *timer, int events)
 {
@@ -307,10 +320,10 @@
   http_exchange_t *http = work->http;
   const rng_t *rng = &at->world->rng;
   char headers[256];
-  char body[64];
+  bytes_t body = { 0 };
   (void)ev;
   (void)events;
-  int body_size = snprintf (body, sizeof body, "answer to %u", work->number);
+  write_body (&body, work->number);
   int size = snprintf (headers, sizeof headers,
                        "X-Attempt-Id: soak-%u\r\nX-Server-Signature: s%u\r\n"
                        "X-Server-Load: %u,0,%d\r\n",
@@ -325,13 +338,16 @@
   else if (at->fault == BACKEND_SPOILS && odd)
     {
       /* Bytes behind the whole answer.  */
-      http_begin (http, 200, headers, (size_t)size, body_size);
-      http_piece (http, body, (size_t)body_size);
+      http_begin (http, 200, headers, (size_t)size,
+                  (int64_t)bytes_size (&body));
+      http_piece (http, bytes_data (&body), bytes_size (&body));
       http_piece (http, "HTTP/1.1 200 OK\r\n\r\n", 19);
       http_abort (http);
     }
   else
-    http_respond (http, 200, headers, (size_t)size, body, (size_t)body_size);
+    http_respond (http, 200, headers, (size_t)size, bytes_data (&body),
+                  bytes_size (&body));
+  bytes_free (&body);
 }
 
 static void
@@ -388,9 +404,12 @@
   http->user = work;
   ev_timer_init (&work->timer, on_work_done, 0, 0);
   work->timer.data = work;
+  bool is_long = rng_chance (&world->rng, 0.03);
+  int64_t least_ms = is_long ? LONG_LEAST_MS : WORK_LEAST_MS;
+  int64_t most_ms = is_long ? LONG_MOST_MS : WORK_MOST_MS;
   int64_t ms
-      = WORK_LEAST_MS
-        + (int64_t)rng_below (&world->rng, WORK_MOST_MS - WORK_LEAST_MS);
+      = least_ms
+        + (int64_t)rng_below (&world->rng, (uint64_t)(most_ms - least_ms));
   if (at->fault == BACKEND_SLOW)
     ms *= SLOW_FACTOR;
   loop_timer (&world->loop, &work->timer, ms * US_PER_MS);
@@ -444,13 +463,16 @@
 static void
 take_success (world_t *world, uint32_t number, const callers_answer_t *answer)
 {
-  char body[64];
-  int size = snprintf (body, sizeof body, "answer to %u", number);
+  bytes_t body = { 0 };
+  write_body (&body, number);
   world->result.answered++;
   if (fields_find (answer->fields, "X-Server-Signature") == NULL
-      || bytes_size (answer->body) != (size_t)size
-      || memcmp (bytes_data (answer->body), body, (size_t)size) != 0)
+      || bytes_size (answer->body) != bytes_size (&body)
+      || memcmp (bytes_data (answer->body), bytes_data (&body),
+                 bytes_size (&body))
+             != 0)
     violated (world, "%u: another answer than its own", number);
+  bytes_free (&body);
   if (world->requests[number].runs == 0)
     violated (world, "%u: answered and never ran", number);
 }
@@ -915,7 +937,7 @@
   endpoint_addr_t store = { INADDR_LOOPBACK, fake_store_port (world->store) };
   at->world = world;
   at->number = number;
-  at->stop_s = 4;
+  at->stop_s = 6;
   at->memory_mb = 128;
   snprintf (at->settings, sizeof at->settings, "%s/sidecar-%d.json",
             world->dir, number);
@@ -962,7 +984,7 @@
 void
 world_change_settings (world_t *world, int number)
 {
-  static const double stop_s[] = { 4, 5, 6 };
+  static const double stop_s[] = { 6, 7, 8 };
   sidecar_t *at = &world->sidecars[number];
   at->stop_s = stop_s[rng_below (&world->rng, 3)];
   at->memory_mb = 96 + 32 * (uint32_t)rng_below (&world->rng, 3);
