Soak: planned releases of backend servers, and answers that are replaced

A backend server says that it leaves, ends, its sidecar is stopped behind it, and both start anew. While all is calm, a 502 for a request that a backend server runs is a violation too.

--- a/tests/soak_mesh.c
+++ b/tests/soak_mesh.c
@@ -48,6 +48,7 @@
   BACKEND,
   /* Planned work.  */
   STOP,
+  RELEASE,
   ZONE,
   CHANGE,
   SETTINGS,
@@ -57,8 +58,8 @@
 } action_t;
 
 static const char *const action_names[ACTION_COUNT] = {
-  "kill",    "pause", "links", "store-path", "store",    "forget",
-  "backend", "stop",  "zone",  "change",     "settings", "series",
+  "kill", "pause",   "links", "store-path", "store",    "forget", "backend",
+  "stop", "release", "zone",  "change",     "settings", "series",
 };
 
 /* What becomes of a settings file.  */
@@ -143,6 +144,9 @@
     case BACKEND:
       world_set_backend (world, step->at, (backend_fault_t)step->variant);
       break;
+    case RELEASE:
+      world_release (world, step->at);
+      break;
     case ZONE:
       world_set_zone_out (world, step->at, true);
       break;
--- a/tests/support_world.c
+++ b/tests/support_world.c
@@ -22,6 +22,8 @@
   SLOTS = 8,
   BEAT_US = 500 * US_PER_MS,
   TICK_US = 5 * US_PER_MS,
+  RECENT = 10000,    /* requests that hold all of a rate's window */
+  LEAVING_BEATS = 7, /* of a backend server before it ends; longer than runs */
   WORK_LEAST_MS = 5,
   WORK_MOST_MS = 60,
   LONG_LEAST_MS = 200, /* some runs last longer */
@@ -102,6 +104,7 @@
   uint64_t sequence;
   uint64_t born_ms;
   backend_fault_t fault;
+  uint32_t leaving; /* beats so far, or 0 */
   uint32_t running;
   struct work_t *works;
 } sidecar_t;
@@ -223,7 +226,7 @@
 check_quota (world_t *world, int64_t now_us)
 {
   uint32_t count = 0;
-  uint32_t from = world->sent > 4000 ? world->sent - 4000 : 0;
+  uint32_t from = world->sent > RECENT ? world->sent - RECENT : 0;
   for (uint32_t i = from; i < world->sent; i++)
     count += world->requests[i].limited && world->requests[i].runs > 0
              && now_us - world->requests[i].ran_us < QUOTA_WINDOW_US;
@@ -502,6 +505,9 @@
     take_refusal (world, number, status);
   else
     world->result.unknown++;
+  if (status == 502 && request->runs > 0 && is_calm (world, request->sent_us))
+    violated (world, "%u: ran, and its answer was replaced by %d", number,
+              status);
   if ((status == 404 && !request->extra) || status == 400 || status == 413
       || status == 431 || (status == 401 && !request->second_key))
     violated (world, "%u: %d for a proper request", number, status);
@@ -640,11 +646,11 @@
   int size = snprintf (
       body, sizeof body,
       "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z%d\","
-      "\"version\":\"v1\",\"slots\":%d,\"state\":\"ready\","
+      "\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\","
       "\"coldRemainingS\":0,\"sequence\":%llu,\"born\":%llu}",
       service_of (at->number), at->backend_addr.port, zone_of (at->number),
-      SLOTS, (unsigned long long)++at->sequence,
-      (unsigned long long)at->born_ms);
+      SLOTS, at->leaving > 0 ? "draining" : "ready",
+      (unsigned long long)++at->sequence, (unsigned long long)at->born_ms);
   bytes_format (&head,
                 "PUT /-/instances/%s HTTP/1.1\r\nHost: control\r\n"
                 "Content-Type: application/json\r\nContent-Length: %d\r\n\r\n",
@@ -657,6 +663,21 @@
   bytes_free (&head);
 }
 
+static void
+sign_off (sidecar_t *at)
+{
+  bytes_t head = { 0 };
+  static const http_reply_handler_t handler
+      = { ignore_head, ignore_body, ignore_end, ignore_fault, NULL };
+  bytes_format (&head,
+                "DELETE /-/instances/%s HTTP/1.1\r\nHost: control\r\n\r\n",
+                at->id);
+  http_request_t request
+      = { .head = bytes_data (&head), .head_size = bytes_size (&head) };
+  http_client_call (at->announcer, &request, &handler);
+  bytes_free (&head);
+}
+
 static http_verdict_t
 on_ready_head (void *ctx, int status, const fields_t *fields, int64_t length)
 {
@@ -733,14 +754,35 @@
   return false;
 }
 
+/* A planned end of a backend server, and of its sidecar behind it.  */
+static void
+go_on_leaving (sidecar_t *at)
+{
+  if (at->leaving == 0 || ++at->leaving < LEAVING_BEATS)
+    return;
+  if (at->leaving == LEAVING_BEATS)
+    {
+      sign_off (at);
+      return;
+    }
+  at->leaving = 0;
+  if (at->backend != NULL)
+    backend_crash (at);
+  world_signal (at->world, at->number, SIGTERM);
+  at->wanted = true;
+}
+
 static void
 tend (sidecar_t *at)
 {
+  go_on_leaving (at);
   bool runs = check_running (at);
   if (!runs && at->wanted)
     {
       at->killed = false;
       at->wanted = false;
+      if (at->backend == NULL && at->fault != BACKEND_GONE)
+        backend_open (at);
       runs = sidecar_start (at);
     }
   if (runs && at->backend != NULL)
@@ -981,6 +1023,14 @@
   world->sidecars[at].wanted = true;
 }
 
+void
+world_release (world_t *world, int number)
+{
+  sidecar_t *at = &world->sidecars[number];
+  if (at->leaving == 0 && at->backend != NULL)
+    at->leaving = 1;
+}
+
 void
 world_change_settings (world_t *world, int number)
 {
@@ -1046,6 +1096,7 @@
 {
   sidecar_t *sidecar = &world->sidecars[at];
   sidecar->fault = fault;
+  sidecar->leaving = 0;
   if (fault == BACKEND_GONE && sidecar->backend != NULL)
     backend_crash (sidecar);
   else if (fault != BACKEND_GONE && sidecar->backend == NULL)
--- a/tests/support_world.h
+++ b/tests/support_world.h
@@ -36,7 +36,10 @@
 
 /* Faults.  AT is a sidecar.  */
 void world_signal (world_t *world, int at, int signal_number);
-void world_restart (world_t *world, int at);         /* once it has ended */
+void world_restart (world_t *world, int at); /* once it has ended */
+/* The backend server says that it leaves and ends, its sidecar is stopped,
+   and both start anew.  */
+void world_release (world_t *world, int at);
 void world_change_settings (world_t *world, int at); /* in its file */
 /* Ends all by SIGTERM, while callers send on; whether each ended.  */
 bool world_stop_all (world_t *world, uint32_t rate);
