--- a/src/edge/entry_place.c
+++ b/src/edge/entry_place.c
@@ -314,12 +314,6 @@
   (void)events;
   if (left_us > US_PER_MS && try_elsewhere (exchange))
     return;
-  /* Armed before the answer began, of which only the deadline counts now.  */
-  if (exchange->step == STEP_ANSWERING && left_us > US_PER_MS)
-    {
-      set_timer (exchange, exchange->deadline_us - MARGIN_US);
-      return;
-    }
   if (exchange->step == STEP_PLACING && left_us > US_PER_MS)
     {
       exchange->tried_count = 0;
