Gather an answer of up to 64 KiB before it is begun

Cause: longer answers travel in parts, and the entry point began the answer with the first part. What is begun can be neither repeated nor refused, so the connection was closed.

The entry point gathers up to 64 KiB before it hands anything on. If the answer breaks off, a read is repeated within its budget or answered 502, and a booking is asked after. Longer answers are begun at once, as before.

--- a/src/edge/entry_answer.c
+++ b/src/edge/entry_answer.c
@@ -2,7 +2,8 @@
 
 enum
 {
-  WINDOW_BYTES = 256 * 1024 /* of an answer that its caller has not read */
+  WINDOW_BYTES = 256 * 1024, /* of an answer that its caller has not read */
+  GATHER_BYTES = 64 * 1024   /* of an answer that are handed on together */
 };
 
 /* A failure of the server itself is worth another server's try.  */
@@ -34,6 +35,51 @@
   exchange->untaken = 0;
 }
 
+/* Hands on what has come of an answer that is too long to wait for.  */
+static void
+begin_answer (exchange_t *exchange)
+{
+  http_exchange_t *http = exchange->http;
+  exchange->step = STEP_ANSWERING;
+  http_begin (http, exchange->status, bytes_data (&exchange->answer_fields),
+              bytes_size (&exchange->answer_fields), exchange->length);
+  http_piece (http, bytes_data (&exchange->answer),
+              bytes_size (&exchange->answer));
+  bytes_free (&exchange->answer_fields);
+  bytes_free (&exchange->answer);
+}
+
+/* What is not begun can still be repeated or refused when it breaks off.  */
+static void
+gather (exchange_t *exchange, const char *data, size_t size)
+{
+  bytes_append (&exchange->answer, data, size);
+  if (exchange->length > GATHER_BYTES
+      || bytes_size (&exchange->answer) > GATHER_BYTES)
+    begin_answer (exchange);
+}
+
+static void
+end_answer (exchange_t *exchange)
+{
+  http_exchange_t *http = exchange->http;
+  bytes_t fields = exchange->answer_fields;
+  bytes_t body = exchange->answer;
+  int status = exchange->status;
+  bool begun = exchange->step == STEP_ANSWERING;
+  exchange->answer_fields = (bytes_t){ 0 };
+  exchange->answer = (bytes_t){ 0 };
+  exchange_count_end (exchange, ENTRY_ANSWERED);
+  exchange_free (exchange);
+  if (begun)
+    http_end (http);
+  else
+    http_respond (http, status, bytes_data (&fields), bytes_size (&fields),
+                  bytes_data (&body), bytes_size (&body));
+  bytes_free (&fields);
+  bytes_free (&body);
+}
+
 static void
 on_reply (void *ctx, const call_reply_t *reply, const char *body, size_t size,
           bool last)
@@ -64,10 +110,11 @@
                     body, size);
       return;
     }
-  exchange_begin_answer (exchange);
-  http_begin (http, reply->status, reply->fields, reply->fields_size,
-              reply->length);
-  http_piece (http, body, size);
+  exchange_gather (exchange);
+  exchange->status = reply->status;
+  exchange->length = reply->length;
+  bytes_append (&exchange->answer_fields, reply->fields, reply->fields_size);
+  gather (exchange, body, size);
   exchange_take (exchange, size);
 }
 
@@ -75,16 +122,14 @@
 on_body (void *ctx, const char *data, size_t size, bool last)
 {
   exchange_t *exchange = ctx;
-  http_exchange_t *http = exchange->http;
-  http_piece (http, data, size);
+  if (exchange->step == STEP_GATHERING)
+    gather (exchange, data, size);
+  else
+    http_piece (exchange->http, data, size);
   if (last)
-    {
-      exchange_count_end (exchange, ENTRY_ANSWERED);
-      exchange_free (exchange);
-      http_end (http);
-      return;
-    }
-  exchange_take (exchange, size);
+    end_answer (exchange);
+  else
+    exchange_take (exchange, size);
 }
 
 static void
@@ -125,9 +170,12 @@
 {
   exchange_t *exchange = ctx;
   bool asked = exchange->step == STEP_ASKING;
+  bool gathering = exchange->step == STEP_GATHERING;
   exchange->call = NULL;
   exchange->run = NULL;
   exchange->cause = failure->cause;
+  bytes_free (&exchange->answer_fields);
+  bytes_free (&exchange->answer);
   if (exchange->step == STEP_ANSWERING)
     {
       http_exchange_t *http = exchange->http;
@@ -136,7 +184,7 @@
       http_abort (http);
       return;
     }
-  if (!asked)
+  if (!asked && !gathering)
     exchange_told_done (exchange,
                         failure->failure == FAILURE_REFUSED ? RUN_SHED
                         : failure->failure == FAILURE_LOST  ? RUN_LOST
@@ -154,7 +202,7 @@
     }
   /* What must run once is asked after, where it was sent.  */
   if (failure->cause == CAUSE_PEER_LOST && !exchange->idempotent
-      && failure->failure == FAILURE_LOST)
+      && (failure->failure == FAILURE_LOST || gathering))
     {
       exchange_ask (exchange);
       return;
--- a/src/edge/entry_end.c
+++ b/src/edge/entry_end.c
@@ -17,9 +17,8 @@
 };
 
 static const char *const step_names[] = {
-  [STEP_PLACING] = "placing",
-  [STEP_SENT] = "sent",
-  [STEP_ASKING] = "asking",
+  [STEP_PLACING] = "placing",     [STEP_SENT] = "sent",
+  [STEP_ASKING] = "asking",       [STEP_GATHERING] = "gathering",
   [STEP_ANSWERING] = "answering",
 };
 
@@ -49,6 +48,8 @@
   if (exchange->http != NULL)
     exchange->http->user = NULL;
   bytes_free (&exchange->fields);
+  bytes_free (&exchange->answer_fields);
+  bytes_free (&exchange->answer);
   entry->state.open--;
   free (exchange);
 }
--- a/src/edge/entry_impl.h
+++ b/src/edge/entry_impl.h
@@ -62,9 +62,10 @@
 /* Where an exchange stands.  */
 typedef enum step_t
 {
-  STEP_PLACING, /* waits for a server or a link to be there */
-  STEP_SENT,    /* on its way, queued or running somewhere */
-  STEP_ASKING,  /* its link was lost; the other side is asked */
+  STEP_PLACING,   /* waits for a server or a link to be there */
+  STEP_SENT,      /* on its way, queued or running somewhere */
+  STEP_ASKING,    /* its link was lost; the other side is asked */
+  STEP_GATHERING, /* its answer comes in, nothing of it was handed on */
   STEP_ANSWERING
 } step_t;
 
@@ -100,6 +101,10 @@
   uint64_t incarnation;
   run_t *run;
   peer_call_t *call;
+  int status; /* of the answer that comes in */
+  int64_t length;
+  bytes_t answer_fields;
+  bytes_t answer;
   size_t untaken; /* bytes that the other side was not told of yet */
   cause_t cause;  /* of the last refusal or failure */
   bool may_have_run;
@@ -132,9 +137,9 @@
    what that costs.  */
 bool exchange_may_repeat (exchange_t *exchange);
 
-/* The head of its answer goes to the caller: no other server is tried, and the
-   rest may take until the deadline.  */
-void exchange_begin_answer (exchange_t *exchange);
+/* Its answer has begun to come: no other server is tried unless it breaks off,
+   and the rest may take until the deadline.  */
+void exchange_gather (exchange_t *exchange);
 
 /* Its run goes on without it, or is cancelled.  */
 void exchange_let_go (exchange_t *exchange);
--- a/src/edge/entry_place.c
+++ b/src/edge/entry_place.c
@@ -219,9 +219,9 @@
 }
 
 void
-exchange_begin_answer (exchange_t *exchange)
+exchange_gather (exchange_t *exchange)
 {
-  exchange->step = STEP_ANSWERING;
+  exchange->step = STEP_GATHERING;
   set_timer (exchange, exchange->deadline_us - MARGIN_US);
 }
 
@@ -286,7 +286,8 @@
       exchange_ask (exchange);
       return;
     }
-  if (exchange->step == STEP_SENT || exchange->step == STEP_ASKING)
+  if (exchange->step == STEP_SENT || exchange->step == STEP_ASKING
+      || exchange->step == STEP_GATHERING)
     exchange->may_have_run = true;
   exchange_let_go (exchange);
   if (exchange->step == STEP_SENT)
--- a/tests/mesh_cut_test.cc
+++ b/tests/mesh_cut_test.cc
@@ -13,32 +13,35 @@
 
 namespace
 {
-const size_t LONG_BYTES = 200000; /* handed on before the answer is whole */
+const size_t LONG_BYTES = 200000; /* handed on before they are whole */
+const size_t GATHERED_BYTES
+    = 64000; /* handed on together, in several frames */
 
+/* Begins an answer of SIZE bytes and sends most of it.  */
 void
-begin_long (http_exchange_t *exchange, const std::string &id)
+begin_long (http_exchange_t *exchange, const std::string &id,
+            size_t size = LONG_BYTES)
 {
   std::string fields = "X-Attempt-Id: " + id + "\r\nX-Server-Signature: s\r\n";
-  http_begin (exchange, 200, fields.data (), fields.size (),
-              (int64_t)LONG_BYTES);
-  std::string half (LONG_BYTES / 2, 'x');
-  http_piece (exchange, half.data (), half.size ());
+  http_begin (exchange, 200, fields.data (), fields.size (), (int64_t)size);
+  std::string most (size / 4 * 3, 'x');
+  http_piece (exchange, most.data (), most.size ());
 }
 
 void
-end_long (http_exchange_t *exchange)
+end_long (http_exchange_t *exchange, size_t size = LONG_BYTES)
 {
-  std::string half (LONG_BYTES / 2, 'y');
-  http_piece (exchange, half.data (), half.size ());
+  std::string rest (size - size / 4 * 3, 'y');
+  http_piece (exchange, rest.data (), rest.size ());
   http_end (exchange);
 }
 
 bool
-is_whole (const std::string &answer)
+is_whole (const std::string &answer, size_t size = LONG_BYTES)
 {
   size_t head = answer.find ("\r\n\r\n");
   return answer.find ("HTTP/1.1 200") == 0 && head != std::string::npos
-         && answer.size () == head + 4 + LONG_BYTES;
+         && answer.size () == head + 4 + size;
 }
 
 /* --- answers that take long ---------------------------------------------- */
@@ -280,13 +283,19 @@
   }
   void
   send_answer (uint64_t stream, const char *body)
+  {
+    send_part (stream, body, strlen (body));
+  }
+  /* The first part of an answer of LENGTH bytes.  */
+  void
+  send_part (uint64_t stream, const char *body, size_t length)
   {
     char fields[] = "X-Server-Signature: s\r\n";
     mesh_reply reply = {};
     reply.stream = stream;
     reply.status = 200;
-    reply.last = 1;
-    reply.length = (int64_t)strlen (body);
+    reply.last = strlen (body) == length;
+    reply.length = (int64_t)length;
     reply.fields = { (u_int)strlen (fields), fields };
     reply.body = { (u_int)strlen (body), (char *)body };
     send (frame_of (MESH_REPLY, (xdrproc_t)xdr_mesh_reply, &reply));
@@ -419,6 +428,24 @@
   EXPECT_EQ (0u, caller.got.find ("HTTP/1.1 200")) << caller.got;
 }
 
+/* Parts of an answer travel in frames of their own.  */
+TEST_F (Played, AReadWhoseAnswerIsCutBetweenItsPartsIsNotBegun)
+{
+  listen (true);
+  std::unique_ptr<End> end = accept ();
+  end->send_report (own);
+  ASSERT_TRUE (
+      wait ([&] { return placement_accepting (a->placement, "s") == 1; }));
+  Caller caller (http_server_port (a->callers));
+  caller.send (request ("GET", "/read/1", "id-1"));
+  ASSERT_TRUE (wait ([&] { return end->call () != 0; }));
+  end->send_part (end->call (), "first", 10);
+  ASSERT_TRUE (wait_for_reports (peer_set_state (a->peers).frames_in + 1));
+  end->reset ();
+  ASSERT_TRUE (wait ([&] { return caller.has ("\r\n\r\n") || caller.ended; }));
+  EXPECT_EQ (0u, caller.got.find ("HTTP/1.1 502")) << caller.got;
+}
+
 /* After a pause of the VM, for one.  */
 TEST_F (Played, ALinkWhoseReportHasArrivedIsNotSilent)
 {
@@ -539,10 +566,12 @@
 {
   STAGE_QUEUED,
   STAGE_RUNNING,
+  STAGE_GATHERING, /* the answer has begun, and is not handed on yet */
   STAGE_ANSWERING,
   STAGE_COUNT
 };
-const char *const stage_names[] = { "Queued", "Running", "Answering" };
+const char *const stage_names[]
+    = { "Queued", "Running", "Gathering", "Answering" };
 
 /* Fault, stage of the request, and whether it is a booking.  */
 typedef std::tuple<int, int, bool> cut_row_t;
@@ -648,7 +677,7 @@
            && runner_open (sidecar->runner) == 0;
   }
   void
-  answer_all ()
+  answer_all (size_t size)
   {
     backend->answer = [] (http_exchange_t *exchange) {
       answer_signed (exchange, id_of (exchange), "done");
@@ -657,10 +686,15 @@
     open.swap (backend->open);
     for (http_exchange_t *exchange : open)
       if (exchange->answer == HTTP_ANSWER_BEGUN)
-        end_long (exchange);
+        end_long (exchange, size);
       else
         backend->answer (exchange);
   }
+  static size_t
+  size_at (int stage)
+  {
+    return stage == STAGE_GATHERING ? GATHERED_BYTES : LONG_BYTES;
+  }
   /* Brings the request to STAGE.  */
   void
   bring_to (int stage, Caller *caller, const std::string &text)
@@ -679,9 +713,18 @@
       }
     caller->send (text);
     ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
-    if (stage != STAGE_ANSWERING)
+    if (stage == STAGE_RUNNING)
       return;
-    begin_long (backend->open[0], "id-1");
+    begin_long (backend->open[0], "id-1", size_at (stage));
+    if (stage == STAGE_GATHERING)
+      {
+        int turns = 0;
+        ASSERT_TRUE (wait ([&] {
+          turns += http_unread (backend->open[0]) == 0;
+          return turns > 10;
+        }));
+        return;
+      }
     ASSERT_TRUE (wait ([&] { return caller->has ("xxx"); }));
   }
 };
@@ -696,15 +739,16 @@
                          booking ? "/book/1" : "/read/1", "id-1")));
   loop_timer (&loop, &deadline, 2 * US_PER_S);
   inject (fault);
-  answer_all ();
+  answer_all (size_at (stage));
   ASSERT_TRUE (
       wait ([&] { return entry_state (a->entry).open == 0 || late >= 0; }));
   EXPECT_LE (late, 0) << "requests are open at their deadline";
   bool whole = false;
   ASSERT_TRUE (wait ([&] {
     caller.has ("");
-    whole = stage == STAGE_ANSWERING ? is_whole (caller.got)
-                                     : caller.has ("\r\n\r\n");
+    whole = caller.got.find ("HTTP/1.1 200") == 0 && stage >= STAGE_GATHERING
+                ? is_whole (caller.got, size_at (stage))
+                : caller.has ("\r\n\r\n");
     return whole || caller.ended;
   })) << caller.got.size ();
   /* What has begun can only be broken off.  */
