--- a/src/edge/entry_place.c
+++ b/src/edge/entry_place.c
@@ -232,9 +232,9 @@
 }
 
 void
-exchange_begin_answer (exchange_t *exchange)
+exchange_gather (exchange_t *exchange)
 {
-  exchange->step = STEP_ANSWERING;
+  exchange->step = STEP_GATHERING;
   set_timer (exchange, exchange->deadline_us - MARGIN_US);
 }
 
@@ -281,7 +281,8 @@
 end_now (exchange_t *exchange, entry_end_t end)
 {
   bool begun = exchange->run == NULL || run_has_begun (exchange->run);
-  if ((exchange->step == STEP_SENT && begun) || exchange->step == STEP_ASKING)
+  if ((exchange->step == STEP_SENT && begun) || exchange->step == STEP_ASKING
+      || exchange->step == STEP_GATHERING)
     exchange->may_have_run = true;
   exchange_let_go (exchange);
   if (exchange->step == STEP_SENT)
--- a/tests/mesh_unanswered_test.cc
+++ b/tests/mesh_unanswered_test.cc
@@ -234,6 +234,7 @@
   QUEUED_HERE,
   RUNS_HERE,
   RUNS_ELSEWHERE,
+  GATHERED, /* a part of its answer has come, and nothing was handed on */
   HALF_ANSWERED
 } stage_t;
 
@@ -281,13 +282,18 @@
     return entry_state (a->entry).open == open
            && backend->targets.size () == runs;
   }));
-  if (row.stage == HALF_ANSWERED)
+  if (row.stage == GATHERED || row.stage == HALF_ANSWERED)
     {
       std::string head = "X-Attempt-Id: id-1\r\nX-Server-Signature: s\r\n";
-      std::string piece (40000, 'x');
+      std::string piece (row.stage == GATHERED ? 40000 : 100000, 'x');
       http_begin (backend->open[0], 200, head.data (), head.size (), -1);
       http_piece (backend->open[0], piece.data (), piece.size ());
-      ASSERT_TRUE (wait ([&] { return caller.has ("xxx"); }));
+      uint64_t frames = peer_set_state (a->peers).frames_in;
+      ASSERT_TRUE (wait ([&] {
+        return row.stage == GATHERED
+                   ? peer_set_state (a->peers).frames_in > frames
+                   : caller.has ("xxx");
+      }));
     }
   runner_stop (a->runner);
   entry_end_open (a->entry);
@@ -313,6 +319,8 @@
   { "BookingThatRunsHere", RUNS_HERE, "POST", "/book/1", "502" },
   { "ReadThatRunsElsewhere", RUNS_ELSEWHERE, "GET", "/read/1", "502" },
   { "BookingThatRunsElsewhere", RUNS_ELSEWHERE, "POST", "/book/1", "502" },
+  { "GatheredRead", GATHERED, "GET", "/read/1", "502" },
+  { "GatheredBooking", GATHERED, "POST", "/book/1", "502" },
   { "HalfAnsweredRead", HALF_ANSWERED, "GET", "/read/1", nullptr },
 };
 
