Keep a zone out while a peer reads the operators' records

An evacuation could be lost on sidecars that knew it. A sidecar that reads the newest records told its peers the offset of each record at once, although pages come in the order of keys: with a new configuration on the first page it seemed to be ahead of all, with no zone out. Peers took that over for good, as they had read the zone's own record before and would not read it again.

Evidence: AZoneStaysOutWhenAPeerIsInTheMiddleOfItsFirstRead failed on the code before, during the read and after it.

--- a/src/edge/operator_feed.c
+++ b/src/edge/operator_feed.c
@@ -22,6 +22,7 @@
   zone_record_t zones[ZONES_OUT_MAX];
   uint32_t zone_count;
   int64_t offset;
+  bool in_snapshot; /* its records tell nothing of what is missing */
 };
 
 operator_feed_t *
@@ -109,6 +110,7 @@
 operator_feed_snapshot_begin (void *ctx)
 {
   operator_feed_t *feed = ctx;
+  feed->in_snapshot = true;
   for (uint32_t i = 0; i < feed->zone_count; i++)
     feed->zones[i].seen = false;
 }
@@ -120,7 +122,7 @@
   char name[NAME_BYTES];
   operator_kind_t kind
       = feed->dialect->operator_kind (record, name, sizeof name);
-  if (record->offset >= feed->offset)
+  if (!feed->in_snapshot && record->offset >= feed->offset)
     feed->offset = record->offset + 1;
   if (kind == OPERATOR_CONFIG && record->value != NULL)
     take_policy (feed, record->value, record->value_size, "store");
@@ -144,6 +146,7 @@
       if (!zone->seen && zone->out && zone->offset < end)
         set_zone (feed, zone, false, end - 1);
     }
+  feed->in_snapshot = false;
   if (end > feed->offset)
     feed->offset = end;
 }
--- a/tests/mesh_edge_test.cc
+++ b/tests/mesh_edge_test.cc
@@ -583,6 +583,28 @@
   EXPECT_FALSE (operator_feed_zone_is_out (other.feed, "z1"));
 }
 
+/* Pages are in the order of keys: the newest record may come in the first,
+   before zones that are out.  */
+TEST_F (Loop, AZoneStaysOutWhenAPeerIsInTheMiddleOfItsFirstRead)
+{
+  Feed knows (&log);
+  Feed reads (&log);
+  knows.put ("config", config (5).c_str (), 1);
+  knows.put ("evacuate/z1", "{}", 2);
+  operator_feed_snapshot_begin (reads.feed);
+  reads.put ("config", config (6).c_str (), 3);
+  operator_state_t state = operator_feed_state (reads.feed);
+  operator_feed_merge (knows.feed, &state);
+  EXPECT_EQ (6u, operator_feed_version (knows.feed));
+  EXPECT_TRUE (operator_feed_zone_is_out (knows.feed, "z1"));
+  reads.put ("evacuate/z1", "{}", 2);
+  operator_feed_snapshot_end (reads.feed, 4);
+  state = operator_feed_state (reads.feed);
+  operator_feed_merge (knows.feed, &state);
+  EXPECT_TRUE (operator_feed_zone_is_out (knows.feed, "z1"));
+  EXPECT_EQ (4, operator_feed_offset (knows.feed));
+}
+
 /* --- the log ----------------------------------------------------------- */
 
 TEST_F (Loop, TheLogDropsByKindAndCounts)
