Count the notice of a lower limit from the change that lowered it

Each configuration, whatever it changed, began the notice of lower limits anew: while one followed another within five seconds, a lower limit that had been accepted never came into force.

Evidence: ALowerIdleLimitIsNotPutOffByChangesThatLowerNothing failed on the code before: the connection outlived the lower limit.

Change: only limits that allow less than the newest ones begin a notice.

--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -1016,13 +1016,26 @@
   return made;
 }
 
+/* Whether callers have to hear of LIMITS after those BEFORE.  */
+static bool
+allow_less (const http_limits_t *limits, const http_limits_t *before)
+{
+  return limits->header_bytes < before->header_bytes
+         || limits->body_bytes < before->body_bytes
+         || limits->header_timeout_us < before->header_timeout_us
+         || limits->body_timeout_us < before->body_timeout_us
+         || limits->idle_timeout_us < before->idle_timeout_us;
+}
+
 void
 http_server_set_limits (http_server_t *server, const http_limits_t *limits,
                         int64_t notice_us)
 {
+  bool noticing = server->notice_end_us > 0;
+  if (allow_less (limits, noticing ? &server->newest : &server->limits))
+    server->notice_end_us = server->loop->now_us + notice_us;
   server->limits = wider_limits (&server->limits, limits);
   server->newest = *limits;
-  server->notice_end_us = server->loop->now_us + notice_us;
 }
 
 bool
--- a/tests/mesh_unanswered_test.cc
+++ b/tests/mesh_unanswered_test.cc
@@ -333,6 +333,27 @@
   EXPECT_TRUE (wait ([&] { return caller->is_over (); }));
 }
 
+/* Configurations follow each other; few of them lower a limit.  */
+TEST_F (Kept, ALowerIdleLimitIsNotPutOffByChangesThatLowerNothing)
+{
+  http_limits_t higher = limits ();
+  higher.idle_timeout_us = 2 * GIVE_UP_US;
+  start (higher);
+  http_limits_t lower = short_idle ();
+  const int64_t notice_us = 2 * IDLE_US;
+  int64_t until_us = loop.now_us + 2 * notice_us;
+  ASSERT_TRUE (wait ([&] {
+    http_server_set_limits (server->server, &lower, notice_us);
+    return loop.now_us > until_us;
+  }));
+  ask ("/second");
+  ASSERT_TRUE (wait ([&] { return caller->has ("ok"); }));
+  EXPECT_TRUE (wait ([&] {
+    http_server_set_limits (server->server, &lower, notice_us);
+    return caller->is_over ();
+  }));
+}
+
 struct HalfReadRow
 {
   const char *name;
