Fix the end of a stop as it begins

A settings file that was read again during a stop moved its end, but not the one that requests are admitted by; with a shorter stop_s the process ended at once, with requests open. The end is fixed when the stop begins. After it, runs of other sidecars' callers that are still open get the time that is kept for last answers.

--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -228,13 +228,6 @@
              load.slow_permille, (long long)runner_run_us (sidecar->runner));
 }
 
-/* How long a stop takes at most.  */
-static int64_t
-stop_us_of (const sidecar_t *sidecar)
-{
-  return (int64_t)(sidecar->settings.stop_s * US_PER_S) - LAST_ANSWERS_US;
-}
-
 /* Whether somebody has not got all of what was written for them, or is in the
    middle of a request.  */
 static bool
@@ -258,7 +251,6 @@
 next_phase (sidecar_t *sidecar)
 {
   int64_t age_us = sidecar->loop.now_us - sidecar->stop_us;
-  int64_t most_us = stop_us_of (sidecar);
   uint32_t open
       = entry_state (sidecar->entry).open + runner_open (sidecar->runner);
   if (sidecar->phase == PHASE_NOTICE && age_us >= READY_NOTICE_US)
@@ -266,7 +258,8 @@
       sidecar->phase = PHASE_DRAINING;
       http_server_drain (sidecar->callers);
     }
-  if (sidecar->phase != PHASE_ENDING && age_us >= most_us)
+  int64_t left_us = sidecar->stop_end_us - sidecar->loop.now_us;
+  if (sidecar->phase != PHASE_ENDING && left_us <= 0)
     {
       sidecar->phase = PHASE_ENDING;
       runner_stop (sidecar->runner);
@@ -275,8 +268,11 @@
     }
   bool drained = sidecar->phase == PHASE_DRAINING && open == 0
                  && age_us >= READY_NOTICE_US + CLOSING_US;
-  bool ended = drained || sidecar->phase == PHASE_ENDING;
-  if ((ended && !is_busy (sidecar)) || age_us >= most_us + LAST_BYTES_US)
+  /* Runs of other sidecars' callers may still end.  */
+  bool ended = drained
+               || (sidecar->phase == PHASE_ENDING
+                   && runner_open (sidecar->runner) == 0);
+  if ((ended && !is_busy (sidecar)) || left_us <= -LAST_BYTES_US)
     {
       event_log (&sidecar->log, EVENT_LIFE, "stopped",
                  "after-ms=%lld open=%u connections=%u",
@@ -419,10 +415,12 @@
     return;
   sidecar->phase = PHASE_NOTICE;
   sidecar->stop_us = sidecar->loop.now_us;
+  sidecar->stop_end_us = sidecar->stop_us
+                         + (int64_t)(sidecar->settings.stop_s * US_PER_S)
+                         - LAST_ANSWERS_US;
   event_log (&sidecar->log, EVENT_LIFE, "stopping", "open=%u runs=%u",
              entry_state (sidecar->entry).open, runner_open (sidecar->runner));
-  entry_set_stop (sidecar->entry, sidecar->stop_us,
-                  sidecar->stop_us + stop_us_of (sidecar));
+  entry_set_stop (sidecar->entry, sidecar->stop_us, sidecar->stop_end_us);
   members_leave (sidecar->members);
   sidecar_beliefs_changed (sidecar);
 }
--- a/src/edge/sidecar_impl.h
+++ b/src/edge/sidecar_impl.h
@@ -76,7 +76,8 @@
   loop_task_t beliefs;
   bool beliefs_far; /* the other availability zones are told at once too */
   phase_t phase;
-  int64_t stop_us; /* when the stop began */
+  int64_t stop_us;     /* when the stop began */
+  int64_t stop_end_us; /* when what is open ends; fixed as the stop begins */
   int64_t load_logged_us;
   mesh_identity identity; /* what a whole report borrows */
   fleet_tell_t tell;
