--- a/tests/live_reload_test.cc
+++ b/tests/live_reload_test.cc
@@ -9,6 +9,8 @@
 
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
+#include <cstring>
 #include <fcntl.h>
 #include <poll.h>
 #include <string>
@@ -121,4 +123,26 @@
   proc_signal (&sidecar, SIGTERM);
   EXPECT_EQ (0, proc_wait (&sidecar, PROC_WAIT_MS));
 }
+
+/* The default of stop_s leaves a stop time; that of the new file does not.  */
+TEST_F (Reload, AStopThatHasBegunKeepsItsEnd)
+{
+  start ();
+  ASSERT_TRUE (prints ("started")) << printed;
+  proc_signal (&sidecar, SIGTERM);
+  ASSERT_TRUE (prints ("stopping")) << printed;
+  FILE *file = fopen (path, "w");
+  ASSERT_NE (nullptr, file);
+  std::string text (SETTINGS, strlen (SETTINGS) - 1);
+  fputs ((text + ",\"stop_s\":1}").c_str (), file);
+  fclose (file);
+  proc_signal (&sidecar, SIGHUP);
+  ASSERT_TRUE (prints ("settings-reloaded")) << printed;
+  ASSERT_TRUE (prints ("event=stopped")) << printed;
+  ASSERT_TRUE (prints ("connections=0")) << printed;
+  size_t at = printed.find ("after-ms=");
+  ASSERT_NE (std::string::npos, at);
+  EXPECT_GE (atoi (printed.c_str () + at + strlen ("after-ms=")), 2300);
+  EXPECT_EQ (0, proc_wait (&sidecar, PROC_WAIT_MS));
+}
 }
