--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -443,6 +443,7 @@
   if (!exchange->until_close)
     send_rest (connection);
   exchange->answer = HTTP_ANSWER_ENDED;
+  connection->report.unanswered++;
   connection->server->state.exchanges--;
   connection_close (connection, HTTP_END_BROKEN);
 }
--- a/tests/mesh_edge_test.cc
+++ b/tests/mesh_edge_test.cc
@@ -110,6 +110,8 @@
   http_abort (server.open[0]);
   ASSERT_TRUE (wait ([&] { return caller.is_over (); }));
   EXPECT_EQ (std::string::npos, caller.got.find ("0\r\n\r\n"));
+  EXPECT_EQ (1u,
+             http_server_state (server.server).unanswered[HTTP_END_BROKEN]);
 }
 
 TEST_F (Loop, ADrainingServerClosesAfterItsAnswersAndIdleConnectionsAtOnce)
