Go on placing a read that was let go of as overdue

Cause: a read whose answer is overdue is taken from its server, which may well be at work on it, and offered to another one. When that had no room, the read was failed at once, as waiting was for requests that no server had seen. So work that was accepted was thrown away by the entry point itself.

Evidence: AReadLetGoOfAsOverdueIsPlacedAgainWhenTheOtherServerIsFull failed on the code before with 502 after 0.45 s of two seconds.

Change: such a read is offered again, to any server, until its deadline. Ruled out for now: to keep the first run until another one answers, which needs two sendings an exchange; listed as open.

--- a/src/edge/entry_impl.h
+++ b/src/edge/entry_impl.h
@@ -111,7 +111,8 @@
   size_t untaken; /* bytes that the other side was not told of yet */
   cause_t cause;  /* of the last refusal or failure */
   bool may_have_run;
-  bool hedged; /* no other server is tried for an overdue answer */
+  bool hedged;     /* no other server is tried for an overdue answer */
+  bool broken_off; /* its run was let go of while the server was at work */
 };
 
 /* --- entry_tree.c ------------------------------------------------------ */
--- a/src/edge/entry_place.c
+++ b/src/edge/entry_place.c
@@ -186,13 +186,15 @@
     }
   /* None is there at all, or none has said that it is full: one may be on
      its way back.  */
-  bool worth_waiting = exchange->tried_count == 0
+  bool worth_waiting = exchange->tried_count == 0 || exchange->broken_off
                        || exchange->cause == CAUSE_NO_PEER
                        || exchange->cause == CAUSE_NO_SERVER
                        || exchange->cause == CAUSE_CONNECT
                        || exchange->cause == CAUSE_SERVER_CHANGED
                        || exchange->cause == CAUSE_LEAVING;
-  if (worth_waiting && look_again (exchange, exchange->patience_us))
+  int64_t until_us = exchange->broken_off ? exchange->deadline_us - MARGIN_US
+                                          : exchange->patience_us;
+  if (worth_waiting && look_again (exchange, until_us))
     return;
   exchange_give_up (exchange, ENTRY_NO_ROOM);
 }
@@ -272,6 +274,8 @@
   exchange_let_go (exchange);
   exchange_told_done (exchange, RUN_FAILED, 0, &(server_load_t){ 0 });
   exchange->may_have_run = true;
+  /* Its caller would have had an answer: another one is owed.  */
+  exchange->broken_off = true;
   exchange_place (exchange);
   return true;
 }
--- a/tests/mesh_overdue_test.cc
+++ b/tests/mesh_overdue_test.cc
@@ -49,6 +49,45 @@
   EXPECT_FALSE (caller.ended);
 }
 
+std::string
+keyed (const char *path, const char *id)
+{
+  return std::string ("GET ") + path
+         + " HTTP/1.1\r\nHost: h\r\nX-Credential: key\r\nX-Timeout-Ms: 2000"
+           "\r\nX-Attempt-Id: "
+         + id + "\r\n\r\n";
+}
+
+/* Its first server was at work when it was let go of.  */
+TEST_F (Runs, AReadLetGoOfAsOverdueIsPlacedAgainWhenTheOtherServerIsFull)
+{
+  start_a_beside_the_server ();
+  Caller caller (http_server_port (a->callers));
+  caller.send (keyed ("/keyed/1", "id-1"));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  answer_signed (backend->open[0], "id-1", "quick");
+  backend->open.clear ();
+  ASSERT_TRUE (wait ([&] { return caller.has ("quick"); }));
+  caller.got.clear ();
+
+  intake_server_t one = { 1, true, false, false, 0, 0 };
+  runner_set_server (b->runner, &one, "i");
+  start (call ("id-0", true)); /* takes the only slot of the other server */
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  caller.send (keyed ("/keyed/2", "id-2"));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 2; }));
+  peer_set_add (a->peers, peer_set_vm (b->peers));
+  ASSERT_TRUE (wait ([&] {
+    peer_set_tick (a->peers, true, true);
+    peer_set_tick (b->peers, true, true);
+    runner_tick (b->runner);
+    return backend->targets.size () == 4 || caller.has ("\r\n\r\n");
+  }));
+  ASSERT_EQ (4u, backend->targets.size ()) << caller.got;
+  answer_signed (backend->open.back (), "id-2", "whole");
+  EXPECT_TRUE (wait ([&] { return caller.has ("whole"); }));
+}
+
 const OverdueRow overdue_rows[] = {
   { "Here", true, 60000 },
   { "OnAnotherVm", false, 60000 },
