Tests: hold the port that a second sidecar listens on

The test let the kernel choose a port, gave it back, and listened on it later and again after a restart; a connection or listener of another test, run beside it, had taken the port meanwhile. The restarts in mesh_edge_test had the same gap.

--- a/tests/mesh_cut_test.cc
+++ b/tests/mesh_cut_test.cc
@@ -581,7 +581,7 @@
 {
 protected:
   relay_t *relay = nullptr;
-  uint16_t bind_port = 0;
+  HeldPort bind_port;
   ev_timer ticker;
   ev_timer deadline;
   int late = -1; /* requests that were open at their deadline */
@@ -594,15 +594,7 @@
     peer_set_remove (a->peers, peer_set_vm (b->peers));
     b.reset ();
     ASSERT_TRUE (wait ([&] { return peer_set_state (a->peers).up == 0; }));
-    error_info_t error = {};
-    int fd = loop_listen (loopback (), &error);
-    ASSERT_GE (fd, 0) << error.message;
-    struct sockaddr_in at = {};
-    socklen_t size = sizeof at;
-    getsockname (fd, (struct sockaddr *)&at, &size);
-    bind_port = ntohs (at.sin_port);
-    close (fd);
-    relay = relay_new (&loop, loopback (bind_port));
+    relay = relay_new (&loop, loopback (bind_port.port));
     start_b_behind_the_relay (300);
     peer_set_add (a->peers, peer_set_vm (b->peers));
     ev_timer_init (&ticker, on_tick, 0, 0);
@@ -625,7 +617,8 @@
   start_b_behind_the_relay (uint64_t incarnation)
   {
     b = std::make_unique<Sidecar> (&loop, &rng, &log, "s", backend->port (),
-                                   incarnation, relay_port (relay), bind_port);
+                                   incarnation, relay_port (relay),
+                                   bind_port.port);
     b->set_backend ("i");
   }
   static void
--- a/tests/support_edge.h
+++ b/tests/support_edge.h
@@ -44,6 +44,27 @@
   return { INADDR_LOOPBACK, port };
 }
 
+/* A port that stays this test's while nobody listens on it: the socket that
+   holds it does not listen, so a listener may come and go beside it.  */
+struct HeldPort
+{
+  int fd;
+  uint16_t port = 0;
+
+  HeldPort ()
+  {
+    int on = 1;
+    struct sockaddr_in at = loop_sockaddr (loopback ());
+    socklen_t size = sizeof at;
+    fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    EXPECT_EQ (0, setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on));
+    EXPECT_EQ (0, bind (fd, (struct sockaddr *)&at, sizeof at));
+    EXPECT_EQ (0, getsockname (fd, (struct sockaddr *)&at, &size));
+    port = ntohs (at.sin_port);
+  }
+  ~HeldPort () { close (fd); }
+};
+
 class Loop : public testing::Test
 {
 protected:
@@ -414,6 +435,7 @@
   std::unique_ptr<Server> backend;
   std::unique_ptr<Sidecar> a;
   std::unique_ptr<Sidecar> b;
+  HeldPort b_port; /* its successor listens there too */
   policy_t *policy = nullptr;
 
   void
@@ -425,7 +447,7 @@
     ASSERT_NE (nullptr, policy) << error.message;
     backend = std::make_unique<Server> (&loop, limits ());
     a = std::make_unique<Sidecar> (&loop, &rng, &log, "front", 1, 100);
-    start_b (200, 0);
+    start_b (200, b_port.port);
     entry_set_policy (a->entry, policy);
     quota_set_members (a->quota, 1);
     peer_set_add (a->peers, peer_set_vm (b->peers));
