--- a/src/edge/entry_end.c
+++ b/src/edge/entry_end.c
@@ -16,6 +16,12 @@
 #undef ENTRY_END_NAME
 };
 
+static const char *const overdue_hold_names[OVERDUE_HOLD_COUNT] = {
+#define OVERDUE_HOLD_NAME(id, name) [OVERDUE_HOLD_##id] = (name),
+  OVERDUE_HOLD_TABLE (OVERDUE_HOLD_NAME)
+#undef OVERDUE_HOLD_NAME
+};
+
 /* Values of the key "step" in the log.  */
 static const char *const step_names[] = {
   [STEP_PLACING] = "placing",     [STEP_SENT] = "sent",
@@ -29,6 +35,12 @@
   return end_names[end];
 }
 
+const char *
+overdue_hold_name (overdue_hold_t hold)
+{
+  return overdue_hold_names[hold];
+}
+
 static void
 count_latency (entry_point_t *entry, int64_t latency_us)
 {
@@ -77,7 +89,7 @@
       "id=%s end=%s service=%s account=%s priority=%u call=%d "
       "cause=%s vm=%llx places=%u age-ms=%lld left-ms=%lld "
       "config=%llu route=%s pressed=%s pressure=%.3f "
-      "cost=%.2f step=%s unseen-ms=%lld",
+      "cost=%.2f step=%s unseen-ms=%lld overdue-hold=%s responses-behind=%u",
       exchange->attempt_id, end_names[end], exchange->service,
       exchange->account, exchange->priority, exchange->from_backend,
       exchange->cause < CAUSE_COUNT ? cause_name (exchange->cause) : "none",
@@ -88,7 +100,9 @@
       exchange->route,
       exchange->bottleneck[0] != '\0' ? exchange->bottleneck : "none",
       exchange->pressure, exchange->relative_cost, step_names[exchange->step],
-      (long long)(exchange->http->unseen_us / US_PER_MS));
+      (long long)(exchange->http->unseen_us / US_PER_MS),
+      overdue_hold_names[exchange->overdue_hold],
+      http_responses_behind (exchange->http));
 }
 
 double
--- a/src/edge/entry_impl.h
+++ b/src/edge/entry_impl.h
@@ -129,6 +129,7 @@
   bool may_have_run;
   bool overdue_retry_disabled; /* an overdue reply does not lead to an attempt
                                   at another server */
+  overdue_hold_t overdue_hold; /* of the last overdue reply */
   bool run_abandoned; /* an overdue attempt, which its server may be running,
                          was cancelled */
 };
--- a/src/edge/entry_place.c
+++ b/src/edge/entry_place.c
@@ -267,10 +267,26 @@
   exchange->peer_call = NULL;
 }
 
+/* Returns why a request whose reply is overdue is not sent to another server
+   now.  Takes a retry if it is OVERDUE_HOLD_NONE.  */
+static overdue_hold_t
+take_overdue_retry (exchange_t *exchange)
+{
+  entry_point_t *entry = exchange->entry;
+  if (placement_accepting_count (entry->deps.placement, exchange->service) < 2)
+    return OVERDUE_HOLD_ONLY_SERVER;
+  /* A stop leaves too little time for another run.  */
+  if (entry->stop_since_us != 0)
+    return OVERDUE_HOLD_STOPPING;
+  if (exchange_is_under_pressure (exchange))
+    return OVERDUE_HOLD_PRESSURE;
+  return exchange_take_retry (exchange) ? OVERDUE_HOLD_NONE
+                                        : OVERDUE_HOLD_NO_RETRY;
+}
+
 /* Sends a request whose reply is overdue to another server, or waits for the
-   reply until the deadline if load may be the reason, there is no other
-   server, the sidecar is stopping or no retry is left.  Returns false if the
-   timer did not expire because of an overdue reply.  */
+   reply until the deadline if it cannot.  Returns false if the timer did not
+   expire because of an overdue reply.  */
 static bool
 retry_overdue_attempt (exchange_t *exchange)
 {
@@ -278,14 +294,10 @@
     return false;
   exchange->overdue_retry_disabled = true;
   exchange->cause = CAUSE_REPLY_OVERDUE;
-  bool only_server = placement_accepting_count (
-                         exchange->entry->deps.placement, exchange->service)
-                     < 2;
-  /* A stop leaves too little time for another run.  */
-  bool stopping = exchange->entry->stop_since_us != 0;
-  if (only_server || stopping || exchange_is_under_pressure (exchange)
-      || !exchange_take_retry (exchange))
+  exchange->overdue_hold = take_overdue_retry (exchange);
+  if (exchange->overdue_hold != OVERDUE_HOLD_NONE)
     {
+      exchange->entry->stats.overdue_holds[exchange->overdue_hold]++;
       set_timer (exchange, exchange->deadline_us - RESPONSE_MARGIN_US);
       return true;
     }
--- a/src/edge/entry_point.h
+++ b/src/edge/entry_point.h
@@ -47,6 +47,26 @@
 /* Returns a name in static storage.  */
 const char *entry_end_name (entry_end_t end);
 
+/* HOLD (identifier, name): why a request whose reply was overdue was not sent
+   to another server.  The names stand in the log and in the metrics.  */
+#define OVERDUE_HOLD_TABLE(HOLD)                                              \
+  HOLD (NONE, "none")               /* the reply was not overdue */           \
+  HOLD (ONLY_SERVER, "only-server") /* no other server accepts requests */    \
+  HOLD (STOPPING, "stopping")       /* too little time before the exit */     \
+  HOLD (PRESSURE, "pressure")       /* load may be the reason */              \
+  HOLD (NO_RETRY, "no-retry")       /* none left, or the retry pool is empty */
+
+typedef enum overdue_hold_t
+{
+#define OVERDUE_HOLD_ENUM(id, name) OVERDUE_HOLD_##id,
+  OVERDUE_HOLD_TABLE (OVERDUE_HOLD_ENUM)
+#undef OVERDUE_HOLD_ENUM
+      OVERDUE_HOLD_COUNT
+} overdue_hold_t;
+
+/* Returns a name in static storage.  */
+const char *overdue_hold_name (overdue_hold_t hold);
+
 /* Components and settings of an entry point.  All pointers are borrowed.  */
 typedef struct entry_deps_t
 {
@@ -105,6 +125,8 @@
   uint64_t ends[ENTRY_END_COUNT];
   /* By the cause of the failure that led to the retry.  */
   uint64_t retries[CAUSE_COUNT];
+  /* Overdue replies that were waited for, by the reason.  */
+  uint64_t overdue_holds[OVERDUE_HOLD_COUNT];
   uint64_t backend_calls; /* made by the backend server of this VM */
   /* Attempts and queries for outcomes, including those refused at once.  */
   uint64_t placed_local;      /* on this VM */
--- a/src/edge/http_answer.c
+++ b/src/edge/http_answer.c
@@ -165,3 +165,13 @@
     return bytes_size (&connection->output);
   return bytes_size (&exchange->output);
 }
+
+uint32_t
+http_responses_behind (const http_exchange_t *exchange)
+{
+  uint32_t count = 0;
+  for (const http_exchange_t *next = exchange->next; next != NULL;
+       next = next->next)
+    count += next->response_state == HTTP_RESPONSE_COMPLETE;
+  return count;
+}
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -213,6 +213,9 @@
    responses to earlier requests are still to be sent.  */
 void http_abort_response (http_exchange_t *exchange);
 
+/* Returns how many complete responses wait until this one is complete.  */
+uint32_t http_responses_behind (const http_exchange_t *exchange);
+
 /* Returns how many bytes are buffered because the socket has not taken them
    yet, or because responses to earlier requests are not complete.  */
 size_t http_buffered_bytes (const http_exchange_t *exchange);
