End a request in time for the responses that wait behind it

Cause: responses go out in the order of the requests. A read whose reply is lost, and which no other server is tried for, waits for its own deadline. A complete response behind it has an earlier one: callers of one connection wait for different times. Nothing looked at the deadlines behind a request. Class: a response in time for its own request but not for those behind it.

Now a request whose reply is overdue, has stalled, or that waits for a server ends at the earliest deadline of the complete responses behind it, with its truthful 503 or 504. A request that may still be running in the usual time, and a response that has begun, are left alone. It works because the caller would close at that moment: the request loses nothing, those behind it reach their caller.

exchange_query_outcome now arms its timer before it sends: the exchange may be freed by the sending.

--- a/src/edge/entry_impl.h
+++ b/src/edge/entry_impl.h
@@ -112,6 +112,9 @@
   int64_t target_latency_us;
   int64_t deadline_us;
   int64_t wait_until_us; /* end of the wait for a server */
+  /* When the reply to the current attempt is overdue; INT64_MAX if it is not
+     known how long runs of the route take.  */
+  int64_t reply_overdue_us;
   bytes_t request_fields;
   vm_id_t tried_vms[SERVERS_TRIED_MAX];
   uint32_t tried_count;
@@ -188,6 +191,10 @@
 void exchange_report_attempt (exchange_t *exchange, run_result_t result,
                               int64_t run_us, const server_load_t *load);
 
+/* Sets the exchange's timer anew because a complete response has come to wait
+   behind it.  */
+void exchange_on_response_behind (exchange_t *exchange);
+
 /* Ends the exchange because the sidecar stops: with a refusal if the request
    cannot have run, with a failure if it may have, and by aborting the response
    if a part of it was passed on.  */
--- a/src/edge/entry_place.c
+++ b/src/edge/entry_place.c
@@ -31,22 +31,50 @@
 reply_overdue_us (const exchange_t *exchange)
 {
   double run_us = exchange->timing->mean_run_us * OVERDUE_FACTOR;
+  if (run_us <= 0)
+    return INT64_MAX;
   return exchange->entry->deps.loop->now_us
          + (run_us > OVERDUE_MIN_US ? (int64_t)run_us : OVERDUE_MIN_US);
 }
 
+/* Returns the time until which the exchange may take.  That is its deadline
+   less RESPONSE_MARGIN_US, or that of a complete response that waits behind
+   it: at that deadline its caller closes the connection, and would get neither
+   response.  An attempt whose reply is not overdue by then is not cut short
+   for another request.  */
+static int64_t
+last_moment_us (const exchange_t *exchange)
+{
+  int64_t own_us = exchange->deadline_us - RESPONSE_MARGIN_US;
+  int64_t behind_us = http_earliest_deadline_behind_us (exchange->http);
+  /* Ending a response that has begun would close the connection.  */
+  if (behind_us >= exchange->deadline_us || exchange->step == STEP_STREAMING)
+    return own_us;
+  behind_us -= RESPONSE_MARGIN_US;
+  bool may_be_running
+      = exchange->step == STEP_SENT && behind_us < exchange->reply_overdue_us;
+  return may_be_running ? own_us : behind_us;
+}
+
 /* Sets the timer to the time at which the reply is overdue or, if no other
-   server may be tried then, to the deadline less RESPONSE_MARGIN_US.  */
+   server may be tried then, to the last moment.  */
 static void
 arm_timer (exchange_t *exchange)
 {
-  int64_t deadline_us = exchange->deadline_us - RESPONSE_MARGIN_US;
-  int64_t overdue_us = reply_overdue_us (exchange);
+  int64_t last_us = last_moment_us (exchange);
+  bool retry = exchange->step == STEP_SENT && !exchange->overdue_retry_disabled
+               && exchange->reply_overdue_us < last_us;
+  set_timer (exchange, retry ? exchange->reply_overdue_us : last_us);
+}
+
+/* Starts the time in which the reply to an attempt sent now is expected.  */
+static void
+expect_reply (exchange_t *exchange)
+{
+  exchange->reply_overdue_us = reply_overdue_us (exchange);
   exchange->overdue_retry_disabled
-      = !exchange->idempotent || exchange->retries_left == 0
-        || exchange->timing->mean_run_us <= 0 || overdue_us >= deadline_us;
-  set_timer (exchange,
-             exchange->overdue_retry_disabled ? deadline_us : overdue_us);
+      = !exchange->idempotent || exchange->retries_left == 0;
+  arm_timer (exchange);
 }
 
 /* Sets the timer for another try, at UNTIL_US at the latest.  Returns false if
@@ -194,7 +222,7 @@
                              exchange->vm);
       add_tried_vm (exchange);
       exchange->step = STEP_SENT;
-      arm_timer (exchange);
+      expect_reply (exchange);
       if (send_to_vm (exchange))
         return;
       exchange->step = STEP_PLACING;
@@ -207,9 +235,8 @@
                        || exchange->cause == CAUSE_CONNECT_FAILED
                        || exchange->cause == CAUSE_SERVER_CHANGED
                        || exchange->cause == CAUSE_LEAVING;
-  int64_t until_us = exchange->run_abandoned
-                         ? exchange->deadline_us - RESPONSE_MARGIN_US
-                         : exchange->wait_until_us;
+  int64_t until_us = exchange->run_abandoned ? last_moment_us (exchange)
+                                             : exchange->wait_until_us;
   if (worth_waiting && schedule_retry (exchange, until_us))
     return;
   exchange_give_up (exchange, ENTRY_NO_ROOM);
@@ -233,7 +260,7 @@
 void
 exchange_schedule_query (exchange_t *exchange)
 {
-  if (schedule_retry (exchange, exchange->deadline_us - RESPONSE_MARGIN_US))
+  if (schedule_retry (exchange, last_moment_us (exchange)))
     return;
   exchange->may_have_run = true;
   exchange_give_up (exchange, ENTRY_DEADLINE_PASSED);
@@ -243,9 +270,8 @@
 exchange_query_outcome (exchange_t *exchange)
 {
   exchange->step = STEP_QUERYING;
-  if (send_to_vm (exchange))
-    arm_timer (exchange);
-  else
+  arm_timer (exchange);
+  if (!send_to_vm (exchange))
     exchange_schedule_query (exchange);
 }
 
@@ -253,7 +279,17 @@
 exchange_begin_buffering (exchange_t *exchange)
 {
   exchange->step = STEP_BUFFERING;
-  set_timer (exchange, exchange->deadline_us - RESPONSE_MARGIN_US);
+  arm_timer (exchange);
+}
+
+void
+exchange_on_response_behind (exchange_t *exchange)
+{
+  bool attempt_open = exchange->run != NULL || exchange->peer_call != NULL;
+  if (attempt_open || exchange->step == STEP_STREAMING)
+    arm_timer (exchange);
+  else if (!schedule_retry (exchange, last_moment_us (exchange)))
+    set_timer (exchange, exchange->entry->deps.loop->now_us);
 }
 
 void
@@ -298,7 +334,7 @@
   if (exchange->overdue_hold != OVERDUE_HOLD_NONE)
     {
       exchange->entry->stats.overdue_holds[exchange->overdue_hold]++;
-      set_timer (exchange, exchange->deadline_us - RESPONSE_MARGIN_US);
+      arm_timer (exchange);
       return true;
     }
   exchange_cancel_attempt (exchange);
@@ -347,8 +383,7 @@
 {
   exchange_t *exchange = timer->data;
   entry_point_t *entry = exchange->entry;
-  int64_t left_us
-      = exchange->deadline_us - RESPONSE_MARGIN_US - entry->deps.loop->now_us;
+  int64_t left_us = last_moment_us (exchange) - entry->deps.loop->now_us;
   (void)ev;
   (void)events;
   if (left_us > US_PER_MS && retry_overdue_attempt (exchange))
--- a/src/edge/entry_point.c
+++ b/src/edge/entry_point.c
@@ -164,6 +164,7 @@
   if (timeout_us > 0 && timeout_us < allowed_us)
     allowed_us = timeout_us;
   exchange->deadline_us = first_byte_us + allowed_us;
+  exchange->http->deadline_us = exchange->deadline_us;
   exchange->target_latency_us = route->target_latency_us;
   exchange->policy_generation = entry->policy_generation;
   exchange->route_index = route_index;
@@ -264,6 +265,8 @@
       return;
     }
   parsed_request_t parsed = read_fields (exchange);
+  if (parsed.timeout_us > 0)
+    http->deadline_us = http->first_byte_us + parsed.timeout_us;
   if (!parsed.has_attempt_id)
     {
       exchange_respond_error (exchange, ENTRY_BAD_REQUEST, 400);
@@ -323,6 +326,15 @@
   exchange_update_flow (exchange, 0);
 }
 
+static void
+on_response_behind (void *ctx, http_exchange_t *http)
+{
+  exchange_t *exchange = http->user_data;
+  (void)ctx;
+  if (exchange != NULL)
+    exchange_on_response_behind (exchange);
+}
+
 /* ----------------------------------------------------------------------- */
 
 entry_point_t *
@@ -380,7 +392,8 @@
 http_handler_t
 entry_handler (entry_point_t *entry)
 {
-  return (http_handler_t){ on_request, on_caller_gone, on_drained, entry };
+  return (http_handler_t){ on_request, on_caller_gone, on_drained,
+                           on_response_behind, entry };
 }
 
 entry_stats_t
--- a/src/edge/http_answer.c
+++ b/src/edge/http_answer.c
@@ -101,6 +101,20 @@
   connection_schedule_flush (exchange->connection);
 }
 
+/* Tells the handler about the requests whose responses EXCHANGE, which has a
+   complete response, waits for.  */
+static void
+notify_response_behind (const http_exchange_t *exchange)
+{
+  const http_handler_t *handler = &exchange->connection->server->handler;
+  http_exchange_t *before = exchange->connection->first_exchange;
+  if (exchange->deadline_us == 0 || handler->response_behind == NULL)
+    return;
+  for (; before != exchange; before = before->next)
+    if (before->response_state != HTTP_RESPONSE_COMPLETE)
+      handler->response_behind (handler->ctx, before);
+}
+
 void
 http_end_response (http_exchange_t *exchange)
 {
@@ -109,6 +123,7 @@
     bytes_append_text (response_output (exchange), "0\r\n\r\n");
   exchange->response_state = HTTP_RESPONSE_COMPLETE;
   connection->server->stats.open_exchanges--;
+  notify_response_behind (exchange);
   retire_complete_exchanges (connection);
 }
 
@@ -175,3 +190,15 @@
     count += next->response_state == HTTP_RESPONSE_COMPLETE;
   return count;
 }
+
+int64_t
+http_earliest_deadline_behind_us (const http_exchange_t *exchange)
+{
+  int64_t earliest_us = INT64_MAX;
+  for (const http_exchange_t *next = exchange->next; next != NULL;
+       next = next->next)
+    if (next->response_state == HTTP_RESPONSE_COMPLETE && next->deadline_us > 0
+        && next->deadline_us < earliest_us)
+      earliest_us = next->deadline_us;
+  return earliest_us;
+}
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -43,6 +43,11 @@
   /* All output of a response in progress has been sent, so that more may be
      written.  May be NULL.  */
   void (*output_drained) (void *ctx, http_exchange_t *exchange);
+  /* The complete response to a later request of the connection waits for this
+     one, and has a deadline (see http_earliest_deadline_behind_us).  Called
+     from within the function that completed that response, so the handler must
+     not respond here.  May be NULL.  */
+  void (*response_behind) (void *ctx, http_exchange_t *exchange);
   void *ctx; /* borrowed */
 } http_handler_t;
 
@@ -67,7 +72,10 @@
      caller_gone.  */
   int64_t unseen_us;
   uint32_t caller_ip; /* host order */
-  void *user_data;    /* for the handler */
+  /* When the caller stops waiting for the response, or 0 if unknown.  Set by
+     the handler.  */
+  int64_t deadline_us;
+  void *user_data; /* for the handler */
   /* Private.  */
   struct http_connection_t *connection;
   http_exchange_t *next;
@@ -216,6 +224,10 @@
 /* Returns how many complete responses wait until this one is complete.  */
 uint32_t http_responses_behind (const http_exchange_t *exchange);
 
+/* Returns the earliest deadline of the complete responses that wait until this
+   one is complete, or INT64_MAX if none has a deadline.  */
+int64_t http_earliest_deadline_behind_us (const http_exchange_t *exchange);
+
 /* Returns how many bytes are buffered because the socket has not taken them
    yet, or because responses to earlier requests are not complete.  */
 size_t http_buffered_bytes (const http_exchange_t *exchange);
--- /dev/null
+++ b/tests/mesh_pipeline_test.cc
@@ -0,0 +1,200 @@
+/* Pipelined requests of which one gets no reply.  Guards against a lost reply
+   that keeps complete responses of the same connection from their caller until
+   that caller has gone.  */
+
+#include "support_edge.h"
+
+namespace
+{
+/* Long time-outs, so that nothing ends at its own deadline in these tests.  */
+const char LONG_POLICY[] = R"({"version":1,"routes":{
+ "book":{"host":"h","pathPrefix":"/book/","kind":"unsafe","timeoutS":90,
+  "targetLatencyS":1,"priority":0,"service":"s","attempts":2,"public":true},
+ "read":{"host":"h","pathPrefix":"/read/","kind":"safe","timeoutS":90,
+  "targetLatencyS":1,"priority":0,"service":"s","attempts":2,"public":true}},
+ "services":{"s":{"healthCheckPath":"/health"}}})";
+const int64_t LONG_US = 60 * US_PER_S;
+const int64_t SHORT_US = 800 * US_PER_MS;
+
+std::string
+timed_request (const char *method, const std::string &path,
+               const std::string &id, int64_t timeout_us)
+{
+  return std::string (method) + " " + path
+         + " HTTP/1.1\r\nHost: h\r\nX-Timeout-Ms: "
+         + std::to_string (timeout_us / US_PER_MS) + "\r\nX-Attempt-Id: " + id
+         + "\r\n\r\n";
+}
+
+/* Callers enter at A.  The server counts as one beside A and one beside B, if
+   there are two.  */
+class Pipeline : public Two
+{
+protected:
+  policy_t *long_policy = nullptr;
+  std::unique_ptr<Caller> caller;
+
+  void
+  SetUp () override
+  {
+    Two::SetUp ();
+    error_info_t error = {};
+    long_policy
+        = platform_parse_policy (LONG_POLICY, strlen (LONG_POLICY), &error);
+    ASSERT_NE (nullptr, long_policy) << error.message;
+    entry_set_policy (a->entry, long_policy);
+  }
+  void
+  TearDown () override
+  {
+    caller.reset ();
+    Two::TearDown ();
+    policy_free (long_policy);
+  }
+  void
+  use_local_server (bool with_other_server)
+  {
+    a = std::make_unique<Sidecar> (&loop, &rng, &log, "s", backend->port (),
+                                   101);
+    a->serve_own_callers (long_policy);
+    if (!with_other_server)
+      return;
+    peer_set_add (a->peers, peer_set_own_vm (b->peers));
+    ASSERT_TRUE (wait ([&] {
+      peer_set_tick (a->peers, true, true);
+      peer_set_tick (b->peers, true, true);
+      return placement_accepting_count (a->placement, "s") == 2;
+    }));
+  }
+  /* Answers all requests but those whose id begins with "lost".  */
+  void
+  answer_all_but_lost ()
+  {
+    backend->answer = [this] (http_exchange_t *exchange) {
+      std::string id = id_of (exchange);
+      if (id.rfind ("lost", 0) == 0)
+        backend->open.push_back (exchange);
+      else
+        answer_signed (exchange, id, "answer of " + id);
+    };
+  }
+  /* Lets A learn how long runs of /read/ take.  */
+  void
+  run_one_read ()
+  {
+    Caller first (http_server_port (a->callers));
+    first.send (timed_request ("GET", "/read/0", "first", LONG_US));
+    ASSERT_TRUE (wait ([&] { return first.has ("answer of first"); }));
+  }
+  size_t
+  count_runs (const std::string &target)
+  {
+    size_t count = 0;
+    for (const std::string &run : backend->targets)
+      count += run == target;
+    return count;
+  }
+};
+
+/* --- responses behind a request that gets no reply ---------------------- */
+
+enum held_back_step_t
+{
+  REPLY_LOST,   /* the server has run the request and does not reply */
+  REPLY_STALLED /* a part of the reply has arrived */
+};
+
+struct HeldBackRow
+{
+  const char *name;
+  held_back_step_t step;
+  bool local;
+  const char *status; /* of the response to the first request */
+};
+
+class HeldBack : public Pipeline,
+                 public testing::WithParamInterface<HeldBackRow>
+{
+};
+
+TEST_P (HeldBack, ResponseReachesItsCallerBeforeItsDeadline)
+{
+  if (GetParam ().local)
+    use_local_server (false);
+  answer_all_but_lost ();
+  run_one_read ();
+  caller = std::make_unique<Caller> (http_server_port (a->callers));
+  caller->send (timed_request ("GET", "/read/1", "lost-1", LONG_US));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  if (GetParam ().step == REPLY_STALLED)
+    {
+      std::string fields = "X-Attempt-Id: lost-1\r\nX-Server-Signature: s\r\n";
+      http_start_response (backend->open[0], 200, fields.data (),
+                           fields.size (), 60000);
+      std::string part (40000, 'x');
+      http_write_body (backend->open[0], part.data (), part.size ());
+    }
+  caller->send (timed_request ("GET", "/read/2", "next", SHORT_US));
+  ASSERT_TRUE (wait ([&] { return caller->has ("answer of next"); }))
+      << caller->got;
+  EXPECT_EQ (0u, caller->got.find (GetParam ().status)) << caller->got;
+}
+
+const HeldBackRow held_back_rows[] = {
+  { "LostOnTheSameVm", REPLY_LOST, true, "HTTP/1.1 504" },
+  { "LostOnAnotherVm", REPLY_LOST, false, "HTTP/1.1 504" },
+  { "StalledOnTheSameVm", REPLY_STALLED, true, "HTTP/1.1 504" },
+  { "StalledOnAnotherVm", REPLY_STALLED, false, "HTTP/1.1 504" },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, HeldBack, testing::ValuesIn (held_back_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+
+/* A refusal that is ready waits like any other response.  */
+TEST_F (Pipeline, RefusalReachesItsCallerBeforeItsDeadline)
+{
+  use_local_server (false);
+  answer_all_but_lost ();
+  run_one_read ();
+  caller = std::make_unique<Caller> (http_server_port (a->callers));
+  caller->send (timed_request ("GET", "/read/1", "lost-1", LONG_US));
+  caller->send (timed_request ("GET", "/unknown/2", "next", SHORT_US));
+  ASSERT_TRUE (wait ([&] { return caller->has ("HTTP/1.1 404"); }))
+      << caller->got;
+  EXPECT_EQ (0u, caller->got.find ("HTTP/1.1 504")) << caller->got;
+}
+
+/* Each of several requests ahead of a response is ended in time for it.  */
+TEST_F (Pipeline, ResponseBehindTwoLostRepliesReachesItsCaller)
+{
+  use_local_server (false);
+  answer_all_but_lost ();
+  run_one_read ();
+  caller = std::make_unique<Caller> (http_server_port (a->callers));
+  caller->send (timed_request ("GET", "/read/1", "lost-1", LONG_US));
+  caller->send (timed_request ("GET", "/read/2", "lost-2", LONG_US));
+  caller->send (timed_request ("GET", "/read/3", "next", SHORT_US));
+  EXPECT_TRUE (wait ([&] { return caller->has ("answer of next"); }))
+      << caller->got;
+}
+
+/* The first request is not overdue: how long its runs take is not known.  It
+   is not ended for the sake of one behind it.  */
+TEST_F (Pipeline, RequestThatIsNotOverdueIsNotEndedForAnother)
+{
+  use_local_server (false);
+  answer_all_but_lost ();
+  caller = std::make_unique<Caller> (http_server_port (a->callers));
+  caller->send (timed_request ("GET", "/read/1", "lost-1", LONG_US));
+  caller->send (timed_request ("GET", "/unknown/2", "next", SHORT_US));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  int64_t passed_us = loop.now_us + SHORT_US + 200 * US_PER_MS;
+  ASSERT_TRUE (wait ([&] { return loop.now_us > passed_us; }));
+  EXPECT_FALSE (caller->has ("HTTP/1.1")) << caller->got;
+  answer_signed (backend->open[0], "lost-1", "answer of lost-1");
+  EXPECT_TRUE (wait ([&] { return caller->has ("HTTP/1.1 404"); }));
+  EXPECT_EQ (0u, caller->got.find ("HTTP/1.1 200")) << caller->got;
+}
+}
--- a/tests/support_world.c
+++ b/tests/support_world.c
@@ -457,7 +457,8 @@
 backend_open (sidecar_t *at)
 {
   error_info_t error = { .kind = ERROR_NONE };
-  http_handler_t handler = { on_backend_request, on_backend_gone, NULL, at };
+  http_handler_t handler
+      = { on_backend_request, on_backend_gone, NULL, NULL, at };
   at->backend = http_server_new (&at->world->loop, at->backend_addr, &limits,
                                  &handler, &error);
   if (at->backend == NULL)
