Look again whether an overdue read can be retried

Cause: the check whether another server may be tried ran once, at six mean run times. If there was no token in the retry pool at that moment, or pressure, or one accepting server, the request was never looked at again. Class: an end decided at one moment. A route whose run time was not known when the request was sent had no check at all.

Now the check is repeated every 200 ms while a mean run's time is left before the last moment, and it uses the mean that is known by then. All conditions are as before (retry pool, pressure, another accepting server), so the number of retries stays bounded by the same pool. A retried request is no longer spared when a complete response behind it is due: its first run had its time.

--- a/src/edge/entry_impl.h
+++ b/src/edge/entry_impl.h
@@ -111,10 +111,9 @@
   uint32_t retries_left; /* retries after attempts that may have run */
   int64_t target_latency_us;
   int64_t deadline_us;
-  int64_t wait_until_us; /* end of the wait for a server */
-  /* When the reply to the current attempt is overdue; INT64_MAX if it is not
-     known how long runs of the route take.  */
-  int64_t reply_overdue_us;
+  int64_t wait_until_us;    /* end of the wait for a server */
+  int64_t sent_us;          /* when the current attempt was sent */
+  int64_t overdue_check_us; /* next check whether its reply is overdue */
   bytes_t request_fields;
   vm_id_t tried_vms[SERVERS_TRIED_MAX];
   uint32_t tried_count;
@@ -130,7 +129,7 @@
                               been given new credit for them */
   cause_t cause; /* why the last attempt failed; CAUSE_COUNT is none */
   bool may_have_run;
-  bool overdue_retry_disabled; /* an overdue reply does not lead to an attempt
+  bool overdue_retry_disabled; /* an overdue reply will not lead to an attempt
                                   at another server */
   overdue_hold_t overdue_hold; /* of the last overdue reply */
   bool run_abandoned; /* an overdue attempt, which its server may be running,
--- a/src/edge/entry_place.c
+++ b/src/edge/entry_place.c
@@ -7,7 +7,9 @@
   /* Measured run times are scaled so that the mean of each route becomes this
      time.  */
   NORMALIZED_RUN_US = 100 * US_PER_MS,
-  OVERDUE_MIN_US = 200 * US_PER_MS,  /* no reply is overdue earlier */
+  OVERDUE_MIN_US = 200 * US_PER_MS, /* no reply is overdue earlier */
+  /* Time between two checks whether an overdue request can be retried now.  */
+  OVERDUE_CHECK_INTERVAL_US = 200 * US_PER_MS,
   RETRY_INTERVAL_US = 50 * US_PER_MS /* between two tries to reach a server */
 };
 
@@ -24,24 +26,24 @@
   loop_start_timer (loop, &exchange->timer, until_us - loop->now_us);
 }
 
-/* Returns the time at which the reply to an attempt sent now is overdue.  Runs
-   of the route usually end so long before that the reply is most likely
-   lost.  */
+/* Returns the time at which the reply to the current attempt is overdue, or
+   INT64_MAX if it is not known how long runs of the route take.  Runs usually
+   end so long before that the reply is most likely lost.  */
 static int64_t
 reply_overdue_us (const exchange_t *exchange)
 {
   double run_us = exchange->timing->mean_run_us * OVERDUE_FACTOR;
   if (run_us <= 0)
     return INT64_MAX;
-  return exchange->entry->deps.loop->now_us
+  return exchange->sent_us
          + (run_us > OVERDUE_MIN_US ? (int64_t)run_us : OVERDUE_MIN_US);
 }
 
 /* Returns the time until which the exchange may take.  That is its deadline
    less RESPONSE_MARGIN_US, or that of a complete response that waits behind
    it: at that deadline its caller closes the connection, and would get neither
-   response.  An attempt whose reply is not overdue by then is not cut short
-   for another request.  */
+   response.  A first attempt whose reply is not overdue by then is not cut
+   short for another request.  */
 static int64_t
 last_moment_us (const exchange_t *exchange)
 {
@@ -51,27 +53,32 @@
   if (behind_us >= exchange->deadline_us || exchange->step == STEP_STREAMING)
     return own_us;
   behind_us -= RESPONSE_MARGIN_US;
-  bool may_be_running
-      = exchange->step == STEP_SENT && behind_us < exchange->reply_overdue_us;
+  bool may_be_running = exchange->step == STEP_SENT && !exchange->run_abandoned
+                        && behind_us < reply_overdue_us (exchange);
   return may_be_running ? own_us : behind_us;
 }
 
-/* Sets the timer to the time at which the reply is overdue or, if no other
-   server may be tried then, to the last moment.  */
+/* Sets the timer to the next check whether the reply is overdue or, if too
+   little time for another run would be left then, to the last moment.  */
 static void
 arm_timer (exchange_t *exchange)
 {
   int64_t last_us = last_moment_us (exchange);
-  bool retry = exchange->step == STEP_SENT && !exchange->overdue_retry_disabled
-               && exchange->reply_overdue_us < last_us;
-  set_timer (exchange, retry ? exchange->reply_overdue_us : last_us);
+  int64_t run_us = (int64_t)exchange->timing->mean_run_us;
+  bool check = exchange->step == STEP_SENT && !exchange->overdue_retry_disabled
+               && exchange->overdue_check_us + run_us < last_us;
+  set_timer (exchange, check ? exchange->overdue_check_us : last_us);
 }
 
 /* Starts the time in which the reply to an attempt sent now is expected.  */
 static void
 expect_reply (exchange_t *exchange)
 {
-  exchange->reply_overdue_us = reply_overdue_us (exchange);
+  exchange->sent_us = exchange->entry->deps.loop->now_us;
+  int64_t overdue_us = reply_overdue_us (exchange);
+  exchange->overdue_check_us
+      = overdue_us == INT64_MAX ? exchange->sent_us + OVERDUE_CHECK_INTERVAL_US
+                                : overdue_us;
   exchange->overdue_retry_disabled
       = !exchange->idempotent || exchange->retries_left == 0;
   arm_timer (exchange);
@@ -320,21 +327,33 @@
                                         : OVERDUE_HOLD_NO_RETRY;
 }
 
+static void
+schedule_overdue_check (exchange_t *exchange)
+{
+  exchange->overdue_check_us
+      = exchange->entry->deps.loop->now_us + OVERDUE_CHECK_INTERVAL_US;
+  arm_timer (exchange);
+}
+
 /* Sends a request whose reply is overdue to another server, or waits for the
-   reply until the deadline if it cannot.  Returns false if the timer did not
-   expire because of an overdue reply.  */
+   reply for longer if it cannot.  Returns false if the timer did not expire
+   for a check whether the reply is overdue.  */
 static bool
 retry_overdue_attempt (exchange_t *exchange)
 {
   if (exchange->step != STEP_SENT || exchange->overdue_retry_disabled)
     return false;
-  exchange->overdue_retry_disabled = true;
+  if (reply_overdue_us (exchange) > exchange->entry->deps.loop->now_us)
+    {
+      schedule_overdue_check (exchange);
+      return true;
+    }
   exchange->cause = CAUSE_REPLY_OVERDUE;
   exchange->overdue_hold = take_overdue_retry (exchange);
   if (exchange->overdue_hold != OVERDUE_HOLD_NONE)
     {
       exchange->entry->stats.overdue_holds[exchange->overdue_hold]++;
-      arm_timer (exchange);
+      schedule_overdue_check (exchange);
       return true;
     }
   exchange_cancel_attempt (exchange);
--- a/src/edge/entry_point.h
+++ b/src/edge/entry_point.h
@@ -125,7 +125,7 @@
   uint64_t ends[ENTRY_END_COUNT];
   /* By the cause of the failure that led to the retry.  */
   uint64_t retries[CAUSE_COUNT];
-  /* Overdue replies that were waited for, by the reason.  */
+  /* Checks after which an overdue reply was waited for, by the reason.  */
   uint64_t overdue_holds[OVERDUE_HOLD_COUNT];
   uint64_t backend_calls; /* made by the backend server of this VM */
   /* Attempts and queries for outcomes, including those refused at once.  */
--- a/tests/mesh_pipeline_test.cc
+++ b/tests/mesh_pipeline_test.cc
@@ -1,6 +1,7 @@
 /* Pipelined requests of which one gets no reply.  Guards against a lost reply
    that keeps complete responses of the same connection from their caller until
-   that caller has gone.  */
+   that caller has gone, and against an overdue reply for which a retry is
+   considered only once.  */
 
 #include "support_edge.h"
 
@@ -197,4 +198,31 @@
   EXPECT_TRUE (wait ([&] { return caller->has ("HTTP/1.1 404"); }));
   EXPECT_EQ (0u, caller->got.find ("HTTP/1.1 200")) << caller->got;
 }
+
+/* --- an overdue reply is looked at again -------------------------------- */
+
+/* Two replies are lost, and the retry pool has one token.  Once other requests
+   have filled it again, the second one is retried too.  */
+TEST_F (Pipeline, OverdueReplyIsRetriedWhenTheRetryPoolHasFilledAgain)
+{
+  use_local_server (true);
+  answer_all_but_lost ();
+  run_one_read ();
+  Caller one (http_server_port (a->callers));
+  Caller two (http_server_port (a->callers));
+  one.send (timed_request ("GET", "/read/lost", "lost-1", LONG_US));
+  two.send (timed_request ("GET", "/read/lost", "lost-2", LONG_US));
+  ASSERT_TRUE (wait ([&] { return count_runs ("/read/lost") == 3; }));
+  ASSERT_TRUE (wait ([&] {
+    return entry_stats (a->entry).overdue_holds[OVERDUE_HOLD_NO_RETRY] > 0;
+  }));
+  Caller busy (http_server_port (a->callers));
+  for (int i = 0; i < 40; i++)
+    {
+      std::string id = "quick-" + std::to_string (i);
+      busy.send (timed_request ("GET", "/read/quick", id, LONG_US));
+      ASSERT_TRUE (wait ([&] { return busy.has ("answer of " + id); }));
+    }
+  EXPECT_TRUE (wait ([&] { return count_runs ("/read/lost") == 4; }));
+}
 }
