Retry an overdue read at the last server that accepts requests

Cause: the check asked for two accepting servers of the service. That counts the server that the read is at; when that one has left, the only accepting one is the one to try. Now it asks for an accepting server on another VM.

--- a/src/edge/entry_place.c
+++ b/src/edge/entry_place.c
@@ -316,7 +316,8 @@
 take_overdue_retry (exchange_t *exchange)
 {
   entry_point_t *entry = exchange->entry;
-  if (placement_accepting_count (entry->deps.placement, exchange->service) < 2)
+  if (!placement_has_other_server (entry->deps.placement, exchange->service,
+                                   exchange->vm))
     return OVERDUE_HOLD_ONLY_SERVER;
   /* A stop leaves too little time for another run.  */
   if (entry->stop_since_us != 0)
--- a/src/mesh/placement.c
+++ b/src/mesh/placement.c
@@ -266,6 +266,20 @@
     apply_load (placement, member, load, now_us);
 }
 
+bool
+placement_has_other_server (const placement_t *placement,
+                            const char *service_name, vm_id_t vm)
+{
+  for (size_t i = 0; i < placement->member_count; i++)
+    {
+      const member_t *member = &placement->members[i];
+      if (member->accepting && member->vm != vm
+          && strcmp (member->service, service_name) == 0)
+        return true;
+    }
+  return false;
+}
+
 uint32_t
 placement_accepting_count (const placement_t *placement,
                            const char *service_name)
--- a/src/mesh/placement.h
+++ b/src/mesh/placement.h
@@ -67,6 +67,10 @@
                               vm_id_t vm, run_result_t result, int64_t run_us,
                               const server_load_t *load, int64_t now_us);
 
+/* Whether a server of SERVICE other than that of VM accepts requests.  */
+bool placement_has_other_server (const placement_t *placement,
+                                 const char *service, vm_id_t vm);
+
 /* Number of servers of SERVICE that accept requests.  */
 uint32_t placement_accepting_count (const placement_t *placement,
                                     const char *service);
--- a/tests/mesh_pipeline_test.cc
+++ b/tests/mesh_pipeline_test.cc
@@ -225,4 +225,22 @@
     }
   EXPECT_TRUE (wait ([&] { return count_runs ("/read/lost") == 4; }));
 }
+
+/* The server that lost the reply has stopped accepting, so that only one
+   server accepts requests: the other one.  */
+TEST_F (Pipeline, OverdueReplyIsRetriedAtTheLastServerThatAccepts)
+{
+  use_local_server (true);
+  answer_all_but_lost ();
+  run_one_read ();
+  Caller one (http_server_port (a->callers));
+  one.send (timed_request ("GET", "/read/lost", "lost-1", LONG_US));
+  ASSERT_TRUE (wait ([&] { return count_runs ("/read/lost") == 1; }));
+  bool ran_locally = runner_open_run_count (a->runner) == 1;
+  Sidecar *left = ran_locally ? a.get () : b.get ();
+  placement_set_unreachable (a->placement, peer_set_own_vm (left->peers),
+                             loop.now_us);
+  ASSERT_EQ (1u, placement_accepting_count (a->placement, "s"));
+  EXPECT_TRUE (wait ([&] { return count_runs ("/read/lost") == 2; }));
+}
 }
