Read a draining connection until its last response is sent

What callers saw: a request sent on a pipelined connection to a sidecar that stops got neither a response nor a refusal.

Cause: a draining server marked a response as the last one of its connection when it was written, even behind responses that were still pending. A refusal is written at once, so it was nearly always such a response. From then on the connection read no further request; what arrived until the earlier responses were sent was discarded. Neither log nor metrics counted these. Class: an end decided when a response is written, not when it is sent.

Now only the first pending response of a connection can be the last one. A response that was buffered behind others gets its Connection: close when it becomes the first, if no request has arrived behind it.

Evidence: Discarded, three rows that send a third request: failed before (the request never reaches the handler within 20 s), pass now; the other three rows pass on both.

--- a/src/edge/http_answer.c
+++ b/src/edge/http_answer.c
@@ -13,6 +13,51 @@
                                                 : &exchange->output;
 }
 
+/* Whether no request follows this one on its connection.  Only known while no
+   response to an earlier request is pending, as the connection is read until
+   then.  */
+static bool
+is_last_response (const http_exchange_t *exchange)
+{
+  const http_connection_t *connection = exchange->connection;
+  bool is_only_exchange = connection->first_exchange == exchange
+                          && exchange->next == NULL
+                          && connection->incoming == NULL
+                          && bytes_size (&connection->unparsed_input) == 0;
+  return exchange->close_after
+         || (connection->server->draining && is_only_exchange);
+}
+
+/* Appends the field that announces the close to the head of the response.  */
+static void
+announce_close (http_exchange_t *exchange)
+{
+  exchange->close_after = true;
+  exchange->connection->last_request_read = true;
+  bytes_append_text (response_output (exchange), "Connection: close\r\n");
+}
+
+/* Moves the buffered response of the exchange that is now the first one to the
+   connection.  Its head may have been written before it was known to be the
+   last one.  */
+static void
+move_output (http_exchange_t *exchange)
+{
+  bytes_t *out = &exchange->connection->output;
+  if (exchange->response_state != HTTP_RESPONSE_NOT_STARTED
+      && !exchange->close_after && is_last_response (exchange))
+    {
+      const char *head = bytes_data (&exchange->output);
+      const char *line_end
+          = memchr (head, '\n', bytes_size (&exchange->output));
+      size_t status_line_size = (size_t)(line_end - head) + 1;
+      bytes_append (out, head, status_line_size);
+      bytes_consume (&exchange->output, status_line_size);
+      announce_close (exchange);
+    }
+  bytes_move (out, &exchange->output);
+}
+
 /* Frees the exchanges at the front whose responses are complete, and moves the
    buffered response of the next one to the connection.  */
 static void
@@ -31,25 +76,13 @@
         connection->close_after_flush = true;
       connection_free_exchange (exchange);
       if (connection->first_exchange != NULL)
-        bytes_move (&connection->output, &connection->first_exchange->output);
+        move_output (connection->first_exchange);
     }
   connection_schedule_flush (connection);
   if (connection->reading_paused && !connection->closed)
     loop_defer (connection->server->loop, &connection->resume_task);
 }
 
-/* Whether this response is the last one on its connection.  */
-static bool
-is_last_response (const http_exchange_t *exchange)
-{
-  const http_connection_t *connection = exchange->connection;
-  bool is_only_exchange = exchange->next == NULL
-                          && connection->incoming == NULL
-                          && bytes_size (&connection->unparsed_input) == 0;
-  return exchange->close_after
-         || (connection->server->draining && is_only_exchange);
-}
-
 static void
 write_head (http_exchange_t *exchange, int status, const char *headers,
             size_t headers_size, int64_t length)
@@ -63,11 +96,7 @@
   exchange->ends_at_close
       = length < 0 && exchange->is_http_1_0 && !exchange->no_response_body;
   if (is_last_response (exchange))
-    {
-      exchange->close_after = true;
-      exchange->connection->last_request_read = true;
-      bytes_append_text (out, "Connection: close\r\n");
-    }
+    announce_close (exchange);
   if (exchange->chunked)
     bytes_append_text (out, "Transfer-Encoding: chunked\r\n\r\n");
   else if (length >= 0 && status != HTTP_STATUS_NO_CONTENT
--- /dev/null
+++ b/tests/mesh_discarded_test.cc
@@ -0,0 +1,98 @@
+/* A draining connection is read until its last response is sent.  A request
+   that is read and discarded gets neither a response nor a refusal.  */
+
+#include "support_edge.h"
+
+namespace
+{
+std::string
+get_request (const std::string &path)
+{
+  return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n";
+}
+
+size_t
+count_of (const std::string &part, const std::string &text)
+{
+  size_t count = 0;
+  for (size_t at = text.find (part); at != std::string::npos;
+       at = text.find (part, at + 1))
+    count++;
+  return count;
+}
+
+/* How the response to the second request, behind the first one, is written:
+   at once, or in pieces that end before or after the first response.  */
+typedef enum second_response_t
+{
+  WHOLE,
+  ENDED_BEFORE_FIRST,
+  ENDED_AFTER_FIRST
+} second_response_t;
+
+struct DiscardedRow
+{
+  const char *name;
+  second_response_t second;
+  bool third_request;
+};
+
+class Discarded : public Loop, public testing::WithParamInterface<DiscardedRow>
+{
+};
+
+TEST_P (Discarded, RequestBehindAPendingResponseOfADrainingServerIsAnswered)
+{
+  const DiscardedRow &row = GetParam ();
+  Server server (&loop, limits ());
+  Caller caller (server.port ());
+  caller.send (get_request ("/1") + get_request ("/2"));
+  ASSERT_TRUE (wait ([&] { return server.open.size () == 2; }));
+  http_exchange_t *first = server.open[0];
+  http_exchange_t *second = server.open[1];
+  http_server_drain (server.server);
+  if (row.second == WHOLE)
+    http_respond (second, 200, "N: 2\r\n", 6, "two", 3);
+  else
+    {
+      http_start_response (second, 200, "N: 2\r\n", 6, -1);
+      http_write_body (second, "two", 3);
+    }
+  if (row.second == ENDED_BEFORE_FIRST)
+    http_end_response (second);
+  if (row.third_request)
+    {
+      caller.send (get_request ("/3"));
+      ASSERT_TRUE (wait ([&] { return server.targets.size () == 3; }));
+    }
+  http_respond (first, 200, nullptr, 0, "one", 3);
+  if (row.second == ENDED_AFTER_FIRST)
+    http_end_response (second);
+  if (row.third_request)
+    http_respond (server.open[2], 200, nullptr, 0, "three", 5);
+  ASSERT_TRUE (wait ([&] { return caller.is_over (); }));
+  EXPECT_EQ (row.third_request ? 3u : 2u,
+             count_of ("HTTP/1.1 200 OK\r\n", caller.got))
+      << caller.got;
+  EXPECT_TRUE (caller.has (row.third_request ? "three" : "two"));
+  EXPECT_EQ (0u, http_server_stats (server.server).late_requests);
+  /* Only the last response announces the close.  */
+  EXPECT_EQ (1u, count_of ("Connection: close\r\n", caller.got));
+  EXPECT_GT (caller.got.find ("Connection: close\r\n"),
+             caller.got.find (row.third_request ? "two" : "one"));
+}
+
+const DiscardedRow discarded_rows[] = {
+  { "BehindAWholeResponse", WHOLE, true },
+  { "BehindAResponseInPieces", ENDED_BEFORE_FIRST, true },
+  { "BehindAnUnfinishedResponse", ENDED_AFTER_FIRST, true },
+  { "NoneBehindAWholeResponse", WHOLE, false },
+  { "NoneBehindAResponseInPieces", ENDED_BEFORE_FIRST, false },
+  { "NoneBehindAnUnfinishedResponse", ENDED_AFTER_FIRST, false },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, Discarded, testing::ValuesIn (discarded_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+}
