Don't announce a close while a request is unread

Cause: the response that announced the close was written before the connection was read, though the next request of a pipelining caller had arrived. It was then read and discarded. The loop may handle the end of a run before it reads the connection, in the same turn.

Now a response is not the last one of a draining connection while bytes are unread.

Evidence: RequestThatArrivesBeforeTheResponseOfADrainingServerIsAnswered failed before, passes now.

--- a/src/edge/http_answer.c
+++ b/src/edge/http_answer.c
@@ -13,19 +13,19 @@
                                                 : &exchange->output;
 }
 
-/* Whether no request follows this one on its connection.  Only known while no
-   response to an earlier request is pending, as the connection is read until
-   then.  */
+/* Whether no request follows this one on its connection, or has arrived.  Only
+   known while no response to an earlier request is pending, as the connection
+   is read until then.  */
 static bool
 is_last_response (const http_exchange_t *exchange)
 {
   const http_connection_t *connection = exchange->connection;
-  bool is_only_exchange = connection->first_exchange == exchange
-                          && exchange->next == NULL
-                          && connection->incoming == NULL
-                          && bytes_size (&connection->unparsed_input) == 0;
-  return exchange->close_after
-         || (connection->server->draining && is_only_exchange);
+  if (exchange->close_after || !connection->server->draining)
+    return exchange->close_after;
+  return connection->first_exchange == exchange && exchange->next == NULL
+         && connection->incoming == NULL
+         && bytes_size (&connection->unparsed_input) == 0
+         && loop_unread_bytes (connection->reader.fd) == 0;
 }
 
 /* Appends the field that announces the close to the head of the response.  */
--- a/src/edge/loop.c
+++ b/src/edge/loop.c
@@ -147,6 +147,15 @@
   return (size_t)bytes;
 }
 
+size_t
+loop_unread_bytes (int fd)
+{
+  int bytes = 0;
+  if (ioctl (fd, FIONREAD, &bytes) != 0 || bytes < 0)
+    return 0;
+  return (size_t)bytes;
+}
+
 struct sockaddr_in
 loop_sockaddr (endpoint_addr_t addr)
 {
--- a/src/edge/loop.h
+++ b/src/edge/loop.h
@@ -92,6 +92,9 @@
    the kernel does not tell.  */
 size_t loop_unacked_bytes (int fd);
 
+/* Returns how many bytes have arrived and are not read yet.  */
+size_t loop_unread_bytes (int fd);
+
 /* Converts ADDR to a socket address.  */
 struct sockaddr_in loop_sockaddr (endpoint_addr_t addr);
 
--- a/tests/mesh_discarded_test.cc
+++ b/tests/mesh_discarded_test.cc
@@ -95,4 +95,25 @@
                           [] (const auto &row) {
                             return std::string (row.param.name);
                           });
+
+/* The loop handles the end of a run before it reads the connection.  */
+TEST_F (Loop, RequestThatArrivesBeforeTheResponseOfADrainingServerIsAnswered)
+{
+  Server server (&loop, limits ());
+  Caller caller (server.port ());
+  caller.send (get_request ("/1"));
+  ASSERT_TRUE (wait ([&] { return server.open.size () == 1; }));
+  http_server_drain (server.server);
+  caller.send (get_request ("/2"));
+  http_respond (server.open[0], 200, nullptr, 0, "one", 3);
+  ASSERT_TRUE (wait ([&] {
+    return server.targets.size () == 2
+           || http_server_stats (server.server).late_requests > 0;
+  }));
+  ASSERT_EQ (2u, server.targets.size ());
+  http_respond (server.open[1], 200, nullptr, 0, "two", 3);
+  ASSERT_TRUE (wait ([&] { return caller.is_over (); }));
+  EXPECT_EQ (2u, count_of ("HTTP/1.1 200 OK\r\n", caller.got));
+  EXPECT_EQ (1u, count_of ("Connection: close\r\n", caller.got));
+}
 }
