Stop asking for a reply that its sidecar has not kept

What callers saw: a booking whose reply was lost with its link waited until its deadline for a 504, and so did all that was pipelined behind it, although the sidecar that had run it said at the first query that the reply is lost.

Cause: a reply that exceeds 64 KiB, or that has begun to be passed to the old link, is not kept. The query for it is answered FAILURE_INVALID_REPLY with CAUSE_PEER_LOST. The entry point looked only at the cause, took the query for lost on its way, and repeated it every 50 ms until the deadline.

Now a query that tells that the request ran has told its outcome: the caller gets the 502 at once. Older sidecars answer the same, so it works with them.

--- a/src/edge/entry_answer.c
+++ b/src/edge/entry_answer.c
@@ -165,12 +165,14 @@
 
 /* Whether a query for the outcome of an attempt failed without telling the
    outcome.  Only the process that the attempt was sent to knows whether it
-   ran.  */
+   ran.  That it ran and its reply is lost is an outcome.  */
 static bool
 is_query_lost (const call_failure_t *failure)
 {
-  return failure->cause == CAUSE_PEER_LOST || failure->cause == CAUSE_NO_PEER
-         || failure->cause == CAUSE_WRONG_SERVICE;
+  return failure->kind != FAILURE_INVALID_REPLY
+         && (failure->cause == CAUSE_PEER_LOST
+             || failure->cause == CAUSE_NO_PEER
+             || failure->cause == CAUSE_WRONG_SERVICE);
 }
 
 static void
