Fail a reply whose head does not fit into a frame

What callers saw: no answer until their deadline, then a 504, although the backend server had run the request and replied.

Cause: the server's client takes reply heads of up to 80 KiB. Lines that end with a bare line feed grow when they are forwarded: "A:" takes 3 bytes there and 5 of a frame, so the fields may exceed the 131072 bytes of a frame. link_send_frame then dropped the frame without a trace, the reply was never sent, and the entry point waited.

Now the runner rejects such a reply like one that is too long for its client: all callers get a 502 at once, whichever sidecar they enter at (those beside the server got a 200 before). link_send_frame tells whether it has queued the frame: a call that exceeds any limit, not only those of target and fields, is not begun and is placed elsewhere. peer_frames_too_large_total counts. The other strings cannot reach their limits: attempt ids of 256 bytes and more are answered with 400, names are read into NAME_BYTES, report lists are bounded.

--- a/src/edge/metrics.c
+++ b/src/edge/metrics.c
@@ -132,6 +132,8 @@
   append_metric (out, "peer_links_lost_total", input->peers.links_lost);
   append_metric (out, "peer_frames_in_total", input->peers.frames_in);
   append_metric (out, "peer_frames_out_total", input->peers.frames_out);
+  append_metric (out, "peer_frames_too_large_total",
+                 input->peers.frames_too_large);
   append_metric (out, "peer_bytes_out_total", input->peers.bytes_out);
   for (int i = 0; i < TRAFFIC_COUNT; i++)
     append_labelled_metric (out, "peer_far_bytes_total", "kind",
--- a/src/edge/peer.h
+++ b/src/edge/peer.h
@@ -103,7 +103,7 @@
 
 /* Sends CALL; the reply or failure goes to SINK.  Both are copied.  Returns
    NULL, with nothing sent, when there is no link, when too much data is queued
-   on it, or when the target or the header fields exceed the limits of a frame.
+   on it, or when CALL exceeds a limit of a frame.
    The returned call is freed before the callback that ends it.  */
 peer_call_t *peer_send_call (peer_t *peer, const call_request_t *call,
                              const call_sink_t *sink);
@@ -116,7 +116,8 @@
 void peer_call_consume (peer_call_t *call, size_t size);
 
 /* Sends the head of the reply to a served call and the first SIZE bytes of its
-   body.  LAST ends the call and frees STREAM.  */
+   body.  Its fields have MESH_FIELDS_MAX bytes at most.  LAST ends the call
+   and frees STREAM.  */
 void peer_stream_send_reply (peer_stream_t *stream, const call_reply_t *reply,
                              const char *body, size_t size, bool last);
 /* Sends SIZE more bytes of the body.  LAST is as above.  */
@@ -156,6 +157,7 @@
   uint64_t links_lost; /* connections closed after the first report */
   uint64_t frames_in;
   uint64_t frames_out;
+  uint64_t frames_too_large; /* not sent */
   uint64_t bytes_out;
   uint64_t cross_zone_bytes[TRAFFIC_COUNT]; /* to other availability zones */
 } peer_set_stats_t;
--- a/src/edge/peer_impl.h
+++ b/src/edge/peer_impl.h
@@ -113,9 +113,10 @@
    on return.  */
 void link_read (peer_link_t *link);
 
-/* Queues VALUE as a frame; its encoded size is at most MAX_SIZE.  Does nothing
-   if the link is closed or VALUE exceeds a limit of the protocol.  */
-void link_send_frame (peer_link_t *link, mesh_kind kind, xdrproc_t encode,
+/* Queues VALUE as a frame; its encoded size is at most MAX_SIZE.  Returns
+   false, with nothing queued, if the link is closed or VALUE exceeds a limit
+   of the protocol.  */
+bool link_send_frame (peer_link_t *link, mesh_kind kind, xdrproc_t encode,
                       void *value, size_t max_size);
 void link_send_report (peer_link_t *link, bool full);
 
--- a/src/edge/peer_link.c
+++ b/src/edge/peer_link.c
@@ -69,18 +69,21 @@
     }
 }
 
-void
+bool
 link_send_frame (peer_link_t *link, mesh_kind kind, xdrproc_t encode,
                  void *value, size_t max_size)
 {
   XDR xdr;
   if (link->closed)
-    return;
+    return false;
   char *frame = bytes_reserve (&link->output, FRAME_HEADER_BYTES + max_size);
   xdrmem_create (&xdr, frame + FRAME_HEADER_BYTES, (u_int)max_size,
                  XDR_ENCODE);
   if (!encode (&xdr, value))
-    return; /* a string over its XDR limit, which the peer would reject */
+    {
+      link->peers->stats.frames_too_large++;
+      return false;
+    }
   uint32_t size = xdr_getpos (&xdr);
   uint32_t header[] = { htonl (size), htonl ((uint32_t)kind) };
   memcpy (frame, header, sizeof header);
@@ -92,6 +95,7 @@
         += FRAME_HEADER_BYTES + size;
   if (!link->connecting && !ev_is_active (&link->write_watcher))
     loop_defer (link->peers->loop, &link->flush_task);
+  return true;
 }
 
 void
--- a/src/edge/peer_stream.c
+++ b/src/edge/peer_stream.c
@@ -89,7 +89,8 @@
   CALL_FLAG_RESUME = 4
 };
 
-static void
+/* Returns false, with nothing sent, if CALL exceeds a limit of a frame.  */
+static bool
 send_call_frames (peer_link_t *link, uint64_t stream_id,
                   const call_request_t *call)
 {
@@ -116,9 +117,10 @@
     .body_size = (u_int)call->body_size,
     .body = { (u_int)first_size, (char *)call->body },
   };
-  link_send_frame (link, MESH_CALL, (xdrproc_t)xdr_mesh_call, &message,
-                   FIXED_FIELDS_MAX_BYTES + strlen (call->target)
-                       + call->fields_size + first_size);
+  if (!link_send_frame (link, MESH_CALL, (xdrproc_t)xdr_mesh_call, &message,
+                        FIXED_FIELDS_MAX_BYTES + strlen (call->target)
+                            + call->fields_size + first_size))
+    return false;
   for (size_t offset = first_size; offset < call->body_size;)
     {
       size_t part_size = call->body_size - offset;
@@ -131,6 +133,14 @@
                        FIXED_FIELDS_MAX_BYTES + part_size);
       offset += part_size;
     }
+  return true;
+}
+
+static void
+call_free (peer_call_t *call)
+{
+  stream_table_remove (&call->link->calls, call->stream_id, true);
+  free (call);
 }
 
 peer_call_t *
@@ -138,9 +148,7 @@
                 const call_sink_t *sink)
 {
   peer_link_t *link = peer->active_link;
-  if (link == NULL || bytes_size (&link->output) > OUTPUT_MAX_BYTES
-      || call->fields_size > MESH_FIELDS_MAX
-      || strlen (call->target) >= MESH_TARGET_MAX)
+  if (link == NULL || bytes_size (&link->output) > OUTPUT_MAX_BYTES)
     return NULL;
   peer_call_t *sent_call = calloc (1, sizeof *sent_call);
   if (sent_call == NULL)
@@ -150,18 +158,15 @@
   sent_call->stream_id = (++link->call_sequence << STREAM_SLOT_BITS) | slot;
   sent_call->sink = *sink;
   stream_table_put (&link->calls, slot, sent_call);
-  send_call_frames (link, sent_call->stream_id, call);
+  if (!send_call_frames (link, sent_call->stream_id, call))
+    {
+      call_free (sent_call);
+      return NULL;
+    }
   sent_call->end_offset_bytes = link->queued_bytes;
   return sent_call;
 }
 
-static void
-call_free (peer_call_t *call)
-{
-  stream_table_remove (&call->link->calls, call->stream_id, true);
-  free (call);
-}
-
 void
 peer_call_cancel (peer_call_t *call)
 {
@@ -415,6 +420,9 @@
     .fields = { (u_int)reply->fields_size, (char *)reply->fields },
     .body = { (u_int)first_size, (char *)body },
   };
+  INVARIANT (reply->fields_size <= MESH_FIELDS_MAX,
+             "%zu bytes of reply fields do not fit into a frame",
+             reply->fields_size);
   link_send_frame (stream->link, MESH_REPLY, (xdrproc_t)xdr_mesh_reply,
                    &message,
                    FIXED_FIELDS_MAX_BYTES + reply->fields_size + first_size);
--- a/src/edge/runner_answer.c
+++ b/src/edge/runner_answer.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "mesh/mesh_proto.h"
+
 enum
 {
   SINGLE_PIECE_MAX_BYTES = 32 * 1024, /* larger replies are passed in parts */
@@ -278,6 +280,9 @@
   run->reply.status = status;
   run->reply.content_length = length;
   copy_reply_fields (run, fields);
+  /* No frame could take them to another sidecar.  */
+  if (run->reply.fields_size > MESH_FIELDS_MAX)
+    return reject_reply (run, CAUSE_MALFORMED_REPLY);
   return HTTP_VERDICT_ACCEPT;
 }
 
--- a/tests/mesh_frames_test.cc
+++ b/tests/mesh_frames_test.cc
@@ -33,4 +33,85 @@
   EXPECT_EQ (0u, caller.got.find ("HTTP/1.1 502")) << caller.got;
   EXPECT_EQ (1u, entry_stats (a->entry).ends[ENTRY_ANSWER_BROKEN]);
 }
+
+/* --- reply heads -------------------------------------------------------- */
+
+struct ReplyFieldsRow
+{
+  const char *name;
+  bool at_server_sidecar; /* callers connect there, else to another sidecar */
+  bool booking;
+  int field_count; /* empty fields that end with a bare line feed */
+  const char *status;
+};
+
+class ReplyFields : public Loop,
+                    public testing::WithParamInterface<ReplyFieldsRow>
+{
+};
+
+/* "A:" with a bare line feed takes 3 bytes of the server's reply and 5 of a
+   frame, so a head that is within the limit of the HTTP client may exceed that
+   of a frame.  */
+TEST_P (ReplyFields, AreForwardedOrFailAtOnce)
+{
+  const ReplyFieldsRow &row = GetParam ();
+  error_info_t error = {};
+  policy_t *policy = platform_parse_policy (POLICY, strlen (POLICY), &error);
+  ASSERT_NE (nullptr, policy) << error.message;
+  int listener = loop_listen (loopback (), &error);
+  ASSERT_GE (listener, 0) << error.message;
+  struct sockaddr_in at = {};
+  socklen_t size = sizeof at;
+  getsockname (listener, (struct sockaddr *)&at, &size);
+  Sidecar b (&loop, &rng, &log, "s", ntohs (at.sin_port), 200);
+  Sidecar a (&loop, &rng, &log, "front", 1, 100);
+  b.serve_own_callers (policy);
+  entry_set_policy (a.entry, policy);
+  peer_set_add (a.peers, peer_set_own_vm (b.peers));
+  ASSERT_TRUE (wait ([&] {
+    peer_set_tick (a.peers, true, true);
+    peer_set_tick (b.peers, true, true);
+    return placement_accepting_count (a.placement, "s") == 1;
+  }));
+
+  Caller caller (
+      http_server_port (row.at_server_sidecar ? b.callers : a.callers));
+  caller.send (std::string (row.booking ? "POST /book/1" : "GET /read/1")
+               + " HTTP/1.1\r\nHost: h\r\nX-Timeout-Ms: 2000\r\n"
+                 "X-Attempt-Id: id-1\r\n\r\n");
+  int fd = -1;
+  ASSERT_TRUE (wait ([&] {
+    fd = fd < 0 ? accept (listener, nullptr, nullptr) : fd;
+    return fd >= 0;
+  }));
+  std::string reply = "HTTP/1.1 200 OK\nX-Attempt-Id: id-1\n"
+                      "X-Server-Signature: s\nContent-Length: 1\n";
+  for (int i = 0; i < row.field_count; i++)
+    reply += "A:\n";
+  reply += "\nx";
+  EXPECT_EQ ((ssize_t)reply.size (),
+             ::send (fd, reply.data (), reply.size (), MSG_NOSIGNAL));
+  EXPECT_TRUE (wait ([&] { return caller.has ("\r\n\r\n"); }));
+  EXPECT_EQ (row.status, caller.got.substr (0, strlen ("HTTP/1.1 200")));
+  EXPECT_EQ (0u, entry_stats (a.entry).ends[ENTRY_DEADLINE_PASSED]);
+  caller.shut ();
+  close (fd);
+  close (listener);
+  policy_free (policy);
+}
+
+const ReplyFieldsRow reply_fields_rows[] = {
+  { "FewReadAtAnotherSidecar", false, false, 10, "HTTP/1.1 200" },
+  { "ManyReadAtAnotherSidecar", false, false, 27000, "HTTP/1.1 502" },
+  { "ManyBookingAtAnotherSidecar", false, true, 27000, "HTTP/1.1 502" },
+  { "ManyReadAtServerSidecar", true, false, 27000, "HTTP/1.1 502" },
+  { "ManyBookingAtServerSidecar", true, true, 27000, "HTTP/1.1 502" },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, ReplyFields,
+                          testing::ValuesIn (reply_fields_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
 }
