Keep a link open whose peer names a failure that is not known here

What callers would see while sidecars are replaced one by one: a newer sidecar fails one call for a cause that the older one does not know, the older one closes the link, and every other call on it is lost: bookings end as unknown, reads are run again or fail.

Cause: handle_failure took unknown kinds and causes for malformed frames.

Now an unknown cause is CAUSE_UNKNOWN, which is not sent itself, and an unknown kind means that the request may have run. What the entry point does follows from the kind, so it stays truthful. Present causes keep their values.

Evidence: LaterFailure (four rows) ended both requests with a 504 after 2 s and lost the link before; the one call fails as its kind says, its neighbour gets its 200 and the link stays now.

--- a/src/edge/peer_stream.c
+++ b/src/edge/peer_stream.c
@@ -249,22 +249,35 @@
   return decoded;
 }
 
+/* Reads MESSAGE.  A peer of a later version may send kinds and causes that are
+   not known here.  Of an unknown kind, the request may have run.  */
+static call_failure_t
+failure_from_wire (const mesh_failed *message)
+{
+  return (call_failure_t){
+    .kind = message->failure <= FAILURE_INVALID_REPLY
+                ? (failure_kind_t)message->failure
+                : FAILURE_OUTCOME_UNKNOWN,
+    .cause
+    = message->cause < CAUSE_COUNT ? (cause_t)message->cause : CAUSE_UNKNOWN,
+    .retry_after_ms = message->retry_ms,
+    .load = load_from_wire (&message->load),
+  };
+}
+
 static bool
 handle_failure (peer_link_t *link, XDR *xdr)
 {
   mesh_failed message;
   memset (&message, 0, sizeof message);
-  if (!xdr_mesh_failed (xdr, &message) || message.cause >= CAUSE_COUNT
-      || message.failure > FAILURE_INVALID_REPLY)
+  if (!xdr_mesh_failed (xdr, &message))
     return false;
   peer_call_t *call = find_call (link, message.stream);
   if (call == NULL)
     return true;
   call_sink_t sink = call->sink;
   call_free (call);
-  call_failure_t failure
-      = { (failure_kind_t)message.failure, (cause_t)message.cause,
-          message.retry_ms, load_from_wire (&message.load) };
+  call_failure_t failure = failure_from_wire (&message);
   sink.failed (sink.ctx, &failure);
   return true;
 }
--- a/src/mesh/call.h
+++ b/src/mesh/call.h
@@ -80,7 +80,11 @@
    asked for had not arrived, and is refused if it still does; or it was
    cancelled before its run began.  PEER_LOST: the link to the sidecar of the
    server was lost.  PEER_RESTARTED: that sidecar has restarted since the call
-   was sent.  NO_PEER: there is no link to it.  */
+   was sent.  NO_PEER: there is no link to it.  UNKNOWN: the peer, of a later
+   version, gave a cause that this one does not know; it is not sent itself.
+
+   The values are sent between sidecars of different versions.  New causes go
+   to the end.  */
 #define CAUSE_TABLE(CAUSE)                                                    \
   CAUSE (NO_SERVER, "no-backend")                                             \
   CAUSE (LEAVING, "leaving")                                                  \
@@ -102,7 +106,8 @@
   CAUSE (CALL_NOT_RECEIVED, "never-came")                                     \
   CAUSE (CRASH_SUSPECT, "crash-suspect")                                      \
   CAUSE (NO_PEER, "no-peer")                                                  \
-  CAUSE (STOPPING, "stopping")
+  CAUSE (STOPPING, "stopping")                                                \
+  CAUSE (UNKNOWN, "unknown")
 
 typedef enum cause_t
 {
--- a/tests/mesh_frames_test.cc
+++ b/tests/mesh_frames_test.cc
@@ -114,4 +114,57 @@
                           [] (const auto &row) {
                             return std::string (row.param.name);
                           });
+
+/* --- frames of a later version ------------------------------------------- */
+
+struct FailureRow
+{
+  const char *name;
+  uint32_t kind;
+  uint32_t cause;
+  const char *status;
+};
+
+class LaterFailure : public FakePeer,
+                     public testing::WithParamInterface<FailureRow>
+{
+};
+
+/* While sidecars are replaced one by one, a newer one may fail calls for
+   reasons that an older one does not know.  */
+TEST_P (LaterFailure, EndsItsCallAndLeavesTheLinkOpen)
+{
+  const FailureRow &row = GetParam ();
+  listen (true);
+  std::unique_ptr<LinkEnd> link = accept ();
+  ASSERT_TRUE (wait_for_server (link.get ()));
+  uint64_t links_lost = peer_set_stats (a->peers).links_lost;
+  Caller failed (http_server_port (a->callers));
+  Caller answered (http_server_port (a->callers));
+  failed.send (request ("POST", "/book/1", "id-1"));
+  ASSERT_TRUE (wait ([&] { return link->calls ().size () == 1; }));
+  answered.send (request ("POST", "/book/2", "id-2"));
+  ASSERT_TRUE (wait ([&] { return link->calls ().size () == 2; }));
+  std::vector<ReceivedCall> calls = link->calls ();
+  link->send_failure (calls[0].stream, row.kind, row.cause);
+  link->send_answer (calls[1].stream, "booked");
+  ASSERT_TRUE (wait ([&] { return failed.has ("\r\n\r\n"); }));
+  ASSERT_TRUE (wait ([&] { return answered.has ("\r\n\r\n"); }));
+  EXPECT_EQ (row.status, failed.got.substr (0, strlen ("HTTP/1.1 200")));
+  EXPECT_EQ (0u, answered.got.find ("HTTP/1.1 200")) << answered.got;
+  EXPECT_EQ (links_lost, peer_set_stats (a->peers).links_lost);
+}
+
+const FailureRow failure_rows[] = {
+  { "Refused", FAILURE_REFUSED, 1000, "HTTP/1.1 503" },
+  { "OutcomeUnknown", FAILURE_OUTCOME_UNKNOWN, 1000, "HTTP/1.1 502" },
+  { "InvalidReply", FAILURE_INVALID_REPLY, 1000, "HTTP/1.1 502" },
+  { "AnotherKind", 1000, CAUSE_QUEUE_FULL, "HTTP/1.1 502" },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, LaterFailure,
+                          testing::ValuesIn (failure_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
 }
