Close the links of a peer's earlier process when the later one reports

What callers saw: after a sudden restart of a VM a booking waited up to a second more for a link whose process was gone; in the tests, which send no ticks, until its deadline. A late report of the earlier process set the peer's incarnation and the state of its server back: a booking sent to the later process was then asked for as one of the earlier, answered "restarted", and ended as unknown although it could have been placed again.

Cause: a VM that loses power sends no end of its connections. All links of a peer counted alike, so the earlier ones could stay selected (they are preferred if the lower id opened them), and the last report read won, from any of them.

Now each link knows the incarnation that has reported on it. The first report of a later process closes the older links, after what has arrived on them is read; its calls end at once and bookings are asked for over the new link. Reports of an earlier process on an older link are ignored. Links count as older by when they were opened, not by their incarnation, which is a wall time.

--- a/src/edge/peer_impl.h
+++ b/src/edge/peer_impl.h
@@ -53,7 +53,8 @@
 struct peer_link_t
 {
   peer_set_t *peers;
-  peer_t *peer; /* NULL before the first report of an inbound link */
+  peer_t *peer;         /* NULL before the first report of an inbound link */
+  uint64_t incarnation; /* of the peer's process; 0 before its first report */
   peer_link_t *next;
   peer_link_t *prev;
   ev_io read_watcher;
@@ -93,7 +94,7 @@
   vm_id_t own_vm;
   ev_io accept_watcher;
   peer_t *first_peer;
-  peer_link_t *links;
+  peer_link_t *links;        /* the newest first */
   peer_link_t *closed_links; /* to be freed by free_closed_task */
   loop_task_t free_closed_task;
   peer_set_stats_t stats;
--- a/src/edge/peer_link.c
+++ b/src/edge/peer_link.c
@@ -112,6 +112,36 @@
                    REPORT_MAX_BYTES);
 }
 
+/* Whether a process that the peer started later has reported on a link that
+   was opened after LINK.  */
+static bool
+is_of_earlier_process (const peer_link_t *link)
+{
+  const peer_link_t *newer = link->prev;
+  while (newer != NULL
+         && (newer->peer != link->peer || newer->last_received_us == 0
+             || newer->incarnation == link->incarnation))
+    newer = newer->prev;
+  return newer != NULL;
+}
+
+/* Closes the links to earlier processes of LINK's peer, on which nothing will
+   arrive any more.  Reads what has arrived before.  */
+static void
+close_links_of_earlier_processes (const peer_link_t *link)
+{
+  peer_link_t *next;
+  for (peer_link_t *older = link->next; older != NULL; older = next)
+    {
+      next = older->next;
+      if (older->peer != link->peer || older->last_received_us == 0
+          || older->incarnation == link->incarnation)
+        continue;
+      link_read (older);
+      link_close (older);
+    }
+}
+
 /* Assigns LINK to the peer with IDENTITY.  Returns false when LINK belongs to
    another peer.  */
 static bool
@@ -122,10 +152,16 @@
   if (link->peer != NULL && link->peer != peer)
     return false;
   link->peer = peer;
+  link->incarnation = identity->incarnation;
+  if (is_of_earlier_process (link))
+    return true;
   link->last_received_us = link->peers->loop->now_us;
   peer->incarnation = identity->incarnation;
   if (first_report)
-    peer_select_link (peer);
+    {
+      peer_select_link (peer);
+      close_links_of_earlier_processes (link);
+    }
   return true;
 }
 
@@ -139,7 +175,7 @@
     return false;
   bool valid = report.identity != NULL ? apply_identity (link, report.identity)
                                        : link->peer != NULL;
-  if (valid)
+  if (valid && !is_of_earlier_process (link))
     handler->on_report (handler->ctx, link->peer, &report);
   xdr_free ((xdrproc_t)xdr_mesh_report, (char *)&report);
   return valid;
--- a/tests/mesh_frames_test.cc
+++ b/tests/mesh_frames_test.cc
@@ -167,4 +167,99 @@
                           [] (const auto &row) {
                             return std::string (row.param.name);
                           });
+
+/* --- links of an earlier process ----------------------------------------- */
+
+struct EarlierLinkRow
+{
+  const char *name;
+  bool above;   /* the peer has the higher VM id */
+  bool replied; /* the earlier process has replied to the booking */
+};
+
+class EarlierLink : public FakePeer,
+                    public testing::WithParamInterface<EarlierLinkRow>
+{
+};
+
+/* A VM that lost power sends no end of its connections.  Once its next process
+   has connected, nothing comes any more on the links of the one before.  */
+TEST_P (EarlierLink, IsReadAndClosedWhenTheNextProcessReports)
+{
+  const EarlierLinkRow &row = GetParam ();
+  listen (row.above);
+  std::unique_ptr<LinkEnd> earlier = dial ();
+  ASSERT_TRUE (wait_for_server (earlier.get (), 300));
+  Caller caller (http_server_port (a->callers));
+  caller.send (request ("POST", "/book/1", "id-1"));
+  ASSERT_TRUE (wait ([&] { return earlier->call () != 0; }));
+
+  std::unique_ptr<LinkEnd> later = dial ();
+  later->send_report (peer_vm, 301);
+  if (row.replied)
+    earlier->send_answer (earlier->call (), "booked");
+  ASSERT_TRUE (
+      wait ([&] { return later->call () != 0 || caller.has ("\r\n\r\n"); }));
+  if (row.replied)
+    EXPECT_EQ (0u, caller.got.find ("HTTP/1.1 200")) << caller.got;
+  else
+    {
+      ASSERT_NE (0u, later->call ()) << caller.got;
+      EXPECT_TRUE (later->calls ()[0].asks_outcome);
+      EXPECT_EQ (300u, later->calls ()[0].incarnation);
+    }
+  ASSERT_TRUE (wait ([&] {
+    earlier->call ();
+    return earlier->ended;
+  }));
+
+  Caller next (http_server_port (a->callers));
+  size_t queries = later->calls ().size ();
+  next.send (request ("POST", "/book/2", "id-2"));
+  ASSERT_TRUE (wait ([&] { return later->calls ().size () > queries; }));
+  later->reset ();
+  std::unique_ptr<LinkEnd> last = dial ();
+  last->send_report (peer_vm, 301);
+  ASSERT_TRUE (wait ([&] { return last->call () != 0; }));
+  EXPECT_TRUE (last->calls ().back ().asks_outcome);
+  EXPECT_EQ (301u, last->calls ().back ().incarnation);
+}
+
+const EarlierLinkRow earlier_link_rows[] = {
+  { "PeerWithHigherId", true, false },
+  { "PeerWithLowerId", false, false },
+  { "ReplyOfPeerWithHigherId", true, true },
+  { "ReplyOfPeerWithLowerId", false, true },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, EarlierLink,
+                          testing::ValuesIn (earlier_link_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+
+/* The earlier process is read after the later one.  */
+TEST_F (FakePeer, FirstReportOfAnEarlierProcessIsIgnored)
+{
+  listen (true);
+  /* A sends a report on each link that it accepts.  */
+  uint64_t frames_out = peer_set_stats (a->peers).frames_out;
+  std::unique_ptr<LinkEnd> earlier = dial ();
+  std::unique_ptr<LinkEnd> later = dial ();
+  ASSERT_TRUE (wait (
+      [&] { return peer_set_stats (a->peers).frames_out == frames_out + 2; }));
+  ASSERT_TRUE (wait_for_server (later.get (), 301));
+  earlier->send_report (peer_vm, 300);
+  ASSERT_TRUE (wait_for_reports (peer_set_stats (a->peers).frames_in + 1));
+  Caller caller (http_server_port (a->callers));
+  caller.send (request ("POST", "/book/1", "id-1"));
+  ASSERT_TRUE (
+      wait ([&] { return earlier->call () != 0 || later->call () != 0; }));
+  EXPECT_NE (0u, later->call ());
+  later->reset ();
+  std::unique_ptr<LinkEnd> last = dial ();
+  last->send_report (peer_vm, 301);
+  ASSERT_TRUE (wait ([&] { return last->call () != 0; }));
+  EXPECT_EQ (301u, last->calls ()[0].incarnation);
+}
 }
--- a/tests/support_peer.h
+++ b/tests/support_peer.h
@@ -36,6 +36,7 @@
 {
   int fd;
   std::string got;
+  bool ended = false;
 
   explicit LinkEnd (int fd) : fd (fd) { fcntl (fd, F_SETFL, O_NONBLOCK); }
   ~LinkEnd ()
@@ -113,8 +114,13 @@
     std::vector<ReceivedCall> found;
     char block[4096];
     ssize_t size;
-    while ((size = recv (fd, block, sizeof block, 0)) > 0)
-      got.append (block, (size_t)size);
+    while (fd >= 0 && (size = recv (fd, block, sizeof block, 0)) >= 0)
+      {
+        ended = ended || size == 0;
+        if (ended)
+          break;
+        got.append (block, (size_t)size);
+      }
     uint32_t head[2];
     for (size_t at = 0; at + sizeof head <= got.size ();
          at += sizeof head + ntohl (head[0]))
