Keep the outcome of a booking until its deadline

What callers could see: a booking run twice. Routes may allow more than ten seconds (30 s if the configuration names no limit). When a reply was lost and the server's sidecar could be reached again only ten seconds after the run, but before the deadline, the sidecar had dropped the outcome, answered the query with "never came", and the entry point sent the booking to another server.

Cause: outcomes were kept for KEEP_OUTCOME_US, whatever the deadline.

Now they are kept until the deadline too. The query can't come later than that: the server's deadline is counted from the arrival of the call.

Evidence: the row LongAfterTheEnd of KeptOutcome (asked 28 s after the end, deadline after 30 s) was START_FAILED and is START_ANSWERED; the other three rows pass on both.

--- a/src/edge/runner_impl.h
+++ b/src/edge/runner_impl.h
@@ -103,7 +103,7 @@
 void run_remove_attempt (run_t *run);
 
 /* Keeps the outcome of RUN, which has ended, for queries.  runner_free_expired
-   frees RUN after KEEP_OUTCOME_US.  */
+   frees RUN after KEEP_OUTCOME_US, but not before its deadline.  */
 void run_keep_outcome (run_t *run);
 void runner_free_expired (runner_t *runner);
 
--- a/src/edge/runner_table.c
+++ b/src/edge/runner_table.c
@@ -6,7 +6,7 @@
 
 enum
 {
-  KEEP_OUTCOME_US = 10 * US_PER_S /* how long outcomes are kept for queries */
+  KEEP_OUTCOME_US = 10 * US_PER_S /* how long outcomes are kept at least */
 };
 
 /* --- attempts that must run at most once ------------------------------- */
@@ -69,12 +69,22 @@
   runner->kept_last = &run->kept_next;
 }
 
+/* Returns the time until which the outcome of RUN is kept.  The entry point
+   may ask for it until the deadline.  */
+static int64_t
+kept_until_us (const run_t *run)
+{
+  int64_t until_us = run->ended_us + KEEP_OUTCOME_US;
+  return until_us > run->deadline_us ? until_us : run->deadline_us;
+}
+
+/* Frees in the order of the ends, so an outcome may be kept for as long as an
+   earlier one.  */
 void
 runner_free_expired (runner_t *runner)
 {
-  int64_t expired_us = runner->loop->now_us - KEEP_OUTCOME_US;
   while (runner->kept_first != NULL
-         && runner->kept_first->ended_us <= expired_us)
+         && kept_until_us (runner->kept_first) <= runner->loop->now_us)
     {
       run_t *run = runner->kept_first;
       runner->kept_first = run->kept_next;
--- a/tests/mesh_frames_test.cc
+++ b/tests/mesh_frames_test.cc
@@ -34,6 +34,57 @@
   EXPECT_EQ (1u, entry_stats (a->entry).ends[ENTRY_ANSWER_BROKEN]);
 }
 
+struct KeptOutcomeRow
+{
+  const char *name;
+  int64_t timeout_us; /* of the booking */
+  int64_t asked_us;   /* after its end */
+  start_verdict_t verdict;
+};
+
+class KeptOutcome : public Runs,
+                    public testing::WithParamInterface<KeptOutcomeRow>
+{
+};
+
+/* The caller of a booking that has run may still wait when the link is open
+   again.  If the outcome had been dropped by then, the booking would be taken
+   for one that never arrived, and run once more.  */
+TEST_P (KeptOutcome, IsKnownUntilTheDeadline)
+{
+  const KeptOutcomeRow &row = GetParam ();
+  call_request_t booking = call ("id-1", false);
+  booking.deadline_us = loop.now_us + row.timeout_us;
+  start (booking);
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  answer_signed (backend->open[0], "id-1", "booked");
+  backend->open.clear ();
+  ASSERT_TRUE (wait ([&] { return ended == 1; }));
+
+  int64_t now_us = loop.now_us;
+  run_t *run = nullptr;
+  booking.asks_outcome = true;
+  booking.incarnation = 200;
+  loop.now_us += row.asked_us;
+  runner_tick (b->runner);
+  EXPECT_EQ (row.verdict,
+             runner_start_call (b->runner, &booking, &sink, &run, &failure));
+  loop.now_us = now_us;
+}
+
+const KeptOutcomeRow kept_outcome_rows[] = {
+  { "SoonAfterTheDeadline", US_PER_S, 9 * US_PER_S, START_ANSWERED },
+  { "LongAfterTheDeadline", US_PER_S, 11 * US_PER_S, START_FAILED },
+  { "LongAfterTheEnd", 30 * US_PER_S, 28 * US_PER_S, START_ANSWERED },
+  { "LongAfterBoth", 30 * US_PER_S, 31 * US_PER_S, START_FAILED },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, KeptOutcome,
+                          testing::ValuesIn (kept_outcome_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+
 /* --- reply heads -------------------------------------------------------- */
 
 struct ReplyFieldsRow
