--- a/src/edge/peer_link.c
+++ b/src/edge/peer_link.c
@@ -69,18 +69,21 @@
     }
 }
 
-void
+bool
 link_send_frame (peer_link_t *link, mesh_kind kind, xdrproc_t encode,
                  void *value, size_t max_size)
 {
   XDR xdr;
   if (link->closed)
-    return;
+    return false;
   char *frame = bytes_reserve (&link->output, FRAME_HEADER_BYTES + max_size);
   xdrmem_create (&xdr, frame + FRAME_HEADER_BYTES, (u_int)max_size,
                  XDR_ENCODE);
   if (!encode (&xdr, value))
-    return; /* a string over its XDR limit, which the peer would reject */
+    {
+      link->peers->stats.frames_too_large++;
+      return false;
+    }
   uint32_t size = xdr_getpos (&xdr);
   uint32_t header[] = { htonl (size), htonl ((uint32_t)kind) };
   memcpy (frame, header, sizeof header);
@@ -92,6 +95,7 @@
         += FRAME_HEADER_BYTES + size;
   if (!link->connecting && !ev_is_active (&link->write_watcher))
     loop_defer (link->peers->loop, &link->flush_task);
+  return true;
 }
 
 void
@@ -108,6 +112,36 @@
                    REPORT_MAX_BYTES);
 }
 
+/* Whether a process that the peer started later has reported on a link that
+   was opened after LINK.  */
+static bool
+is_of_earlier_process (const peer_link_t *link)
+{
+  const peer_link_t *newer = link->prev;
+  while (newer != NULL
+         && (newer->peer != link->peer || newer->last_received_us == 0
+             || newer->incarnation == link->incarnation))
+    newer = newer->prev;
+  return newer != NULL;
+}
+
+/* Closes the links to earlier processes of LINK's peer, on which nothing will
+   arrive any more.  Reads what has arrived before.  */
+static void
+close_links_of_earlier_processes (const peer_link_t *link)
+{
+  peer_link_t *next;
+  for (peer_link_t *older = link->next; older != NULL; older = next)
+    {
+      next = older->next;
+      if (older->peer != link->peer || older->last_received_us == 0
+          || older->incarnation == link->incarnation)
+        continue;
+      link_read (older);
+      link_close (older);
+    }
+}
+
 /* Assigns LINK to the peer with IDENTITY.  Returns false when LINK belongs to
    another peer.  */
 static bool
@@ -118,10 +152,16 @@
   if (link->peer != NULL && link->peer != peer)
     return false;
   link->peer = peer;
+  link->incarnation = identity->incarnation;
+  if (is_of_earlier_process (link))
+    return true;
   link->last_received_us = link->peers->loop->now_us;
   peer->incarnation = identity->incarnation;
   if (first_report)
-    peer_select_link (peer);
+    {
+      peer_select_link (peer);
+      close_links_of_earlier_processes (link);
+    }
   return true;
 }
 
@@ -135,7 +175,7 @@
     return false;
   bool valid = report.identity != NULL ? apply_identity (link, report.identity)
                                        : link->peer != NULL;
-  if (valid)
+  if (valid && !is_of_earlier_process (link))
     handler->on_report (handler->ctx, link->peer, &report);
   xdr_free ((xdrproc_t)xdr_mesh_report, (char *)&report);
   return valid;
