Tell apart how callers' connections end, and what they still owed

Callers saw tries cut without an answer; the log said of a connection that its caller ended neither how (end of stream, reset, failed send, found by a poll) nor what it still owed, nothing of input that was unread when this side closed, and lines about connections shared the limit of 50 a second with refusals.

connection-cut now also tells of closes by callers that leave requests unanswered, and of closes by this side with unhandled input; request-end has caller-end; stopped counts connections with unread or partly read input. Lines about connections are a kind of their own (dropped-connections). Metrics count the closes by caller_end, the responses held back and the unread connections.

--- a/src/edge/entry_end.c
+++ b/src/edge/entry_end.c
@@ -89,7 +89,8 @@
       "id=%s end=%s service=%s account=%s priority=%u call=%d "
       "cause=%s vm=%llx places=%u age-ms=%lld left-ms=%lld "
       "config=%llu route=%s pressed=%s pressure=%.3f "
-      "cost=%.2f step=%s unseen-ms=%lld overdue-hold=%s responses-behind=%u",
+      "cost=%.2f step=%s unseen-ms=%lld caller-end=%s overdue-hold=%s "
+      "responses-behind=%u",
       exchange->attempt_id, end_names[end], exchange->service,
       exchange->account, exchange->priority, exchange->from_backend,
       exchange->cause < CAUSE_COUNT ? cause_name (exchange->cause) : "none",
@@ -101,6 +102,7 @@
       exchange->bottleneck[0] != '\0' ? exchange->bottleneck : "none",
       exchange->pressure, exchange->relative_cost, step_names[exchange->step],
       (long long)(exchange->http->unseen_us / US_PER_MS),
+      http_caller_end_name (exchange->http->caller_end),
       overdue_hold_names[exchange->overdue_hold],
       http_responses_behind (exchange->http));
 }
--- a/src/edge/event_log.c
+++ b/src/edge/event_log.c
@@ -13,11 +13,12 @@
   PENDING_BYTES_MAX = 256 * 1024
 };
 
-/* Each kind has a limit of its own, so that requests cannot displace changes
-   of state.  A line costs about 5 us of processor time: all kinds together
-   stay under 1 % of a core.  */
+/* Each kind has a limit of its own, so that requests cannot displace the rest.
+   A line costs about 5 us of processor time: all kinds together stay under 1 %
+   of a core.  */
 static const uint32_t lines_per_s_max[EVENT_KIND_COUNT] = {
   [EVENT_REQUEST] = 50,
+  [EVENT_CONNECTION] = 50,
   [EVENT_STATE_CHANGE] = 50,
   [EVENT_LIFECYCLE] = 50,
 };
@@ -105,8 +106,12 @@
 format_dropped_counts (event_log_t *log, char *to, size_t size_bytes)
 {
   int used = 0;
-  static const char *const names[]
-      = { "dropped-requests", "dropped-beliefs", "dropped-life" };
+  static const char *const names[EVENT_KIND_COUNT] = {
+    [EVENT_REQUEST] = "dropped-requests",
+    [EVENT_CONNECTION] = "dropped-connections",
+    [EVENT_STATE_CHANGE] = "dropped-beliefs",
+    [EVENT_LIFECYCLE] = "dropped-life",
+  };
   for (int i = 0; i < EVENT_KIND_COUNT; i++)
     {
       if (log->dropped_counts[i] == 0)
--- a/src/edge/event_log.h
+++ b/src/edge/event_log.h
@@ -12,6 +12,7 @@
 typedef enum event_kind_t
 {
   EVENT_REQUEST,      /* a decision on one request */
+  EVENT_CONNECTION,   /* a caller's connection, or accepting one */
   EVENT_STATE_CHANGE, /* the process's own state, or its view of others */
   EVENT_LIFECYCLE,    /* start, stop, reload, a dependency lost or regained */
   EVENT_KIND_COUNT
--- a/src/edge/http_connection.c
+++ b/src/edge/http_connection.c
@@ -56,6 +56,7 @@
   http_server_stats_t *stats = &server->stats;
   stats->open_exchanges--;
   exchange->unseen_us = caller_unseen_us (exchange->connection);
+  exchange->caller_end = exchange->connection->close_report.caller_end;
   stats->caller_gone_counts[loop_gap_bucket (exchange->unseen_us,
                                              HTTP_UNSEEN_BUCKETS)]++;
   if (exchange->unseen_us > stats->max_unseen_us)
@@ -85,16 +86,40 @@
 
 /* --- connections ------------------------------------------------------- */
 
-/* Counts the close, and reports it if it leaves requests without a response or
-   has bytes discarded.  */
+static void
+count_close (http_server_stats_t *stats, const http_close_report_t *report)
+{
+  stats->close_counts[report->reason]++;
+  stats->unanswered_counts[report->reason] += report->unanswered_requests;
+  stats->responses_behind_counts[report->reason] += report->responses_behind;
+  stats->unread_counts[report->reason] += report->unread_bytes > 0;
+  if (report->reason != HTTP_CLOSE_CALLER)
+    return;
+  stats->caller_end_counts[report->caller_end]++;
+  stats->caller_end_unanswered_counts[report->caller_end]
+      += report->unanswered_requests;
+}
+
+/* Whether the close may have cost the caller a response.  What a caller left
+   unread or incomplete when it ended the connection itself, it does not
+   expect one for.  */
+static bool
+is_reported (const http_close_report_t *report)
+{
+  if (report->unanswered_requests > 0 || report->unsent_bytes > 0)
+    return true;
+  return report->reason != HTTP_CLOSE_CALLER
+         && (report->late_bytes > 0 || report->unread_bytes > 0
+             || report->unparsed_bytes > 0 || report->partly_read);
+}
+
+/* Counts the close, and reports it if need be.  */
 static void
 report_close (http_connection_t *connection)
 {
   http_server_t *server = connection->server;
-  http_server_stats_t *stats = &server->stats;
   http_close_report_t *report = &connection->close_report;
-  stats->close_counts[report->reason]++;
-  stats->unanswered_counts[report->reason] += report->unanswered_requests;
+  count_close (&server->stats, report);
   INVARIANT (report->unanswered_requests == 0
                  || (report->reason != HTTP_CLOSE_IDLE
                      && report->reason != HTTP_CLOSE_DRAINED
@@ -102,10 +127,7 @@
              "a connection closed as %s left %u requests without a response",
              http_close_reason_name (report->reason),
              report->unanswered_requests);
-  bool closed_by_server = report->reason != HTTP_CLOSE_CALLER;
-  if (closed_by_server
-      && (report->unanswered_requests > 0 || report->late_bytes > 0)
-      && server->close_callback != NULL)
+  if (server->close_callback != NULL && is_reported (report))
     server->close_callback (server->close_callback_ctx, report);
 }
 
@@ -122,6 +144,27 @@
             : server->limits.idle_timeout_us;
 }
 
+/* Records what the connection still owes, and what of its input is not
+   handled.  */
+static void
+record_debts (http_connection_t *connection)
+{
+  http_close_report_t *report = &connection->close_report;
+  const http_exchange_t *first = connection->first_exchange;
+  int fd = connection->reader.fd;
+  if (first != NULL)
+    {
+      report->responses_behind = http_responses_behind (first);
+      report->oldest_unanswered_us
+          = connection->server->loop->now_us - first->first_byte_us;
+    }
+  report->unread_bytes = (uint32_t)loop_unread_bytes (fd);
+  report->unparsed_bytes = (uint32_t)bytes_size (&connection->unparsed_input);
+  report->partly_read = connection->incoming != NULL;
+  report->unsent_bytes = (uint32_t)bytes_size (&connection->output);
+  report->unacked_bytes = (uint32_t)loop_unacked_bytes (fd);
+}
+
 /* A response whose end is the end of the connection would look complete after
    a normal close, so the connection is reset if it is incomplete.  */
 static void
@@ -143,6 +186,7 @@
   connection->closed = true;
   if (!connection->lingering)
     record_close_reason (connection, reason);
+  record_debts (connection);
   ev_io_stop (server->loop->ev, &connection->reader);
   ev_io_stop (server->loop->ev, &connection->writer);
   loop_cancel (server->loop, &connection->flush_task);
@@ -164,6 +208,17 @@
   loop_defer (server->loop, &server->free_closed_task);
 }
 
+void
+connection_close_ended (http_connection_t *connection, http_caller_end_t end,
+                        int error)
+{
+  if (connection->closed)
+    return;
+  connection->close_report.caller_end = end;
+  connection->close_report.caller_errno = error;
+  connection_close (connection, HTTP_CLOSE_CALLER);
+}
+
 void
 connection_free_closed (void *ctx)
 {
@@ -225,7 +280,7 @@
         }
       if (sent < 0)
         {
-          connection_close (connection, HTTP_CLOSE_CALLER);
+          connection_close_ended (connection, HTTP_CALLER_SEND_FAILED, errno);
           return;
         }
       bytes_consume (&connection->output, (size_t)sent);
--- a/src/edge/http_reader.c
+++ b/src/edge/http_reader.c
@@ -234,7 +234,8 @@
   if (!loop_peer_has_closed (connection->reader.fd))
     return false;
   connection->server->stats.reads_abandoned++;
-  connection_close (connection, HTTP_CLOSE_CALLER);
+  connection_close_ended (connection, HTTP_CALLER_FOUND_CLOSED,
+                          loop_socket_error (connection->reader.fd));
   return true;
 }
 
@@ -299,7 +300,9 @@
     return;
   if (size <= 0)
     {
-      connection_close (connection, HTTP_CLOSE_CALLER);
+      connection_close_ended (
+          connection, size == 0 ? HTTP_CALLER_CLOSED : HTTP_CALLER_RESET,
+          size == 0 ? 0 : errno);
       return;
     }
   if (connection->lingering)
--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -1,5 +1,6 @@
 #include "edge/http_server_impl.h"
 
+#include <errno.h>
 #include <stdlib.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -16,6 +17,20 @@
   [HTTP_CLOSE_FREED] = "freed",
 };
 
+static const char *const caller_end_names[HTTP_CALLER_END_COUNT] = {
+  [HTTP_CALLER_OPEN] = "none",
+  [HTTP_CALLER_CLOSED] = "closed",
+  [HTTP_CALLER_RESET] = "reset",
+  [HTTP_CALLER_SEND_FAILED] = "send-failed",
+  [HTTP_CALLER_FOUND_CLOSED] = "found-closed",
+};
+
+const char *
+http_caller_end_name (http_caller_end_t end)
+{
+  return caller_end_names[end];
+}
+
 const char *
 http_close_reason_name (http_close_reason_t reason)
 {
@@ -54,6 +69,16 @@
 
 /* --- the listener ------------------------------------------------------ */
 
+/* The connections that wait to be accepted stay in the kernel.  */
+static void
+count_accept_failure (http_server_t *server)
+{
+  if (errno == EAGAIN || errno == EINTR)
+    return;
+  server->stats.accept_failures++;
+  server->stats.accept_errno = errno;
+}
+
 static void
 on_acceptable (struct ev_loop *ev, ev_io *acceptor, int events)
 {
@@ -68,7 +93,10 @@
       int fd = accept4 (acceptor->fd, (struct sockaddr *)&from, &size,
                         SOCK_NONBLOCK | SOCK_CLOEXEC);
       if (fd < 0)
-        return;
+        {
+          count_accept_failure (server);
+          return;
+        }
       connection_open (server, fd, ntohl (from.sin_addr.s_addr));
     }
 }
@@ -188,6 +216,20 @@
   return http_server_has_unacked_output (server);
 }
 
+http_unhandled_input_t
+http_server_unhandled_input (const http_server_t *server)
+{
+  http_unhandled_input_t counts = { 0 };
+  for (const http_connection_t *connection = server->connections;
+       connection != NULL; connection = connection->next)
+    {
+      counts.unread += loop_unread_bytes (connection->reader.fd) > 0;
+      counts.partly_read += connection->incoming != NULL
+                            || bytes_size (&connection->unparsed_input) > 0;
+    }
+  return counts;
+}
+
 void
 http_server_stop_reading (http_server_t *server)
 {
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -58,6 +58,20 @@
   HTTP_RESPONSE_COMPLETE
 } http_response_state_t;
 
+/* How the caller's side of a connection ended.  */
+typedef enum http_caller_end_t
+{
+  HTTP_CALLER_OPEN,         /* not known to have ended */
+  HTTP_CALLER_CLOSED,       /* all it sent was read, up to the end of stream */
+  HTTP_CALLER_RESET,        /* a read failed */
+  HTTP_CALLER_SEND_FAILED,  /* a response could not be sent */
+  HTTP_CALLER_FOUND_CLOSED, /* found closed before all it sent was handled */
+  HTTP_CALLER_END_COUNT
+} http_caller_end_t;
+
+/* Returns the name of END in metrics and in the log, in static storage.  */
+const char *http_caller_end_name (http_caller_end_t end);
+
 struct http_connection_t;
 
 struct http_exchange_t
@@ -71,7 +85,8 @@
   /* How long the caller's close may have gone unnoticed; set before
      caller_gone.  */
   int64_t unseen_us;
-  uint32_t caller_ip; /* host order */
+  http_caller_end_t caller_end; /* set before caller_gone */
+  uint32_t caller_ip;           /* host order */
   /* When the caller stops waiting for the response, or 0 if unknown.  Set by
      the handler.  */
   int64_t deadline_us;
@@ -116,6 +131,16 @@
    acknowledged by its caller.  */
 bool http_server_has_unacked_output (const http_server_t *server);
 
+/* Open connections by what would be lost if they were closed now.  */
+typedef struct http_unhandled_input_t
+{
+  uint32_t unread;      /* bytes have arrived that were not read */
+  uint32_t partly_read; /* a request was read in part, or not yet parsed */
+} http_unhandled_input_t;
+
+http_unhandled_input_t
+http_server_unhandled_input (const http_server_t *server);
+
 /* Whether http_server_has_unacked_output, or a request has been read in
    part.  */
 bool http_server_is_busy (const http_server_t *server);
@@ -162,12 +187,24 @@
   int64_t idle_limit_us;  /* the idle limit that applied to it */
   /* Complete requests without a complete response.  */
   uint32_t unanswered_requests;
+  /* Complete responses that waited for that to an earlier request.  */
+  uint32_t responses_behind;
+  int64_t oldest_unanswered_us; /* age of the oldest such request, or 0 */
+  uint32_t unread_bytes;        /* arrived, but not read */
+  uint32_t unparsed_bytes;      /* read, but not parsed */
+  bool partly_read;             /* a request was read in part */
+  uint32_t unsent_bytes;        /* of responses, not taken by the socket */
+  uint32_t unacked_bytes;       /* taken by it, but not acknowledged */
+  http_caller_end_t caller_end;
+  int caller_errno;       /* error of caller_end, or 0 */
   uint32_t late_bytes;    /* read after the close was decided, and discarded */
   uint32_t late_requests; /* complete requests among those bytes */
 } http_close_report_t;
 
-/* Called for each connection that the server itself closes and that leaves a
-   request without a response or has bytes discarded.  */
+/* Called for each connection whose close leaves a request without a response
+   or part of a response unsent, and for each that the server itself closes
+   with bytes discarded, unread or not parsed, or with a request read in
+   part.  */
 typedef void (*http_close_callback_t) (void *ctx,
                                        const http_close_report_t *report);
 
@@ -195,6 +232,17 @@
      left, by the reason of the close.  */
   uint64_t close_counts[HTTP_CLOSE_REASON_COUNT];
   uint64_t unanswered_counts[HTTP_CLOSE_REASON_COUNT];
+  /* Complete responses that these connections did not send, as they waited for
+     that to an earlier request.  */
+  uint64_t responses_behind_counts[HTTP_CLOSE_REASON_COUNT];
+  /* Those of these connections that had unread bytes.  */
+  uint64_t unread_counts[HTTP_CLOSE_REASON_COUNT];
+  /* Connections that their callers ended, and the requests without a complete
+     response that they left.  */
+  uint64_t caller_end_counts[HTTP_CALLER_END_COUNT];
+  uint64_t caller_end_unanswered_counts[HTTP_CALLER_END_COUNT];
+  uint64_t accept_failures; /* errors of accept */
+  int accept_errno;         /* the last one, or 0 */
   uint64_t late_bytes;
   uint64_t late_requests;
 } http_server_stats_t;
--- a/src/edge/http_server_impl.h
+++ b/src/edge/http_server_impl.h
@@ -87,6 +87,11 @@
 void connection_close (http_connection_t *connection,
                        http_close_reason_t reason);
 
+/* Closes the connection as its caller's side has ended.  ERROR is the errno
+   that told so, or 0.  */
+void connection_close_ended (http_connection_t *connection,
+                             http_caller_end_t end, int error);
+
 /* Shuts down the write side after the last response, and discards what the
    caller still sends until it closes.  */
 void connection_linger (http_connection_t *connection);
--- a/src/edge/loop.c
+++ b/src/edge/loop.c
@@ -147,6 +147,25 @@
   return (size_t)bytes;
 }
 
+size_t
+loop_unread_bytes (int fd)
+{
+  int bytes = 0;
+  if (ioctl (fd, FIONREAD, &bytes) != 0 || bytes < 0)
+    return 0;
+  return (size_t)bytes;
+}
+
+int
+loop_socket_error (int fd)
+{
+  int error = 0;
+  socklen_t size = sizeof error;
+  if (getsockopt (fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0)
+    return errno;
+  return error;
+}
+
 struct sockaddr_in
 loop_sockaddr (endpoint_addr_t addr)
 {
--- a/src/edge/loop.h
+++ b/src/edge/loop.h
@@ -92,6 +92,13 @@
    the kernel does not tell.  */
 size_t loop_unacked_bytes (int fd);
 
+/* Returns how many bytes have arrived that were not read, or 0 if the kernel
+   does not tell.  */
+size_t loop_unread_bytes (int fd);
+
+/* Returns and clears the pending error of the socket, or 0.  */
+int loop_socket_error (int fd);
+
 /* Converts ADDR to a socket address.  */
 struct sockaddr_in loop_sockaddr (endpoint_addr_t addr);
 
--- a/src/edge/metrics.c
+++ b/src/edge/metrics.c
@@ -98,6 +98,19 @@
                               reason, callers->close_counts[i]);
       append_labelled_metric (out, "caller_requests_unanswered_total", "end",
                               reason, callers->unanswered_counts[i]);
+      append_labelled_metric (out, "caller_responses_held_back_total", "end",
+                              reason, callers->responses_behind_counts[i]);
+      append_labelled_metric (out, "caller_connections_unread_total", "end",
+                              reason, callers->unread_counts[i]);
+    }
+  for (int i = HTTP_CALLER_OPEN + 1; i < HTTP_CALLER_END_COUNT; i++)
+    {
+      const char *end = http_caller_end_name ((http_caller_end_t)i);
+      append_labelled_metric (out, "caller_ends_total", "caller_end", end,
+                              callers->caller_end_counts[i]);
+      append_labelled_metric (out, "caller_ends_unanswered_total",
+                              "caller_end", end,
+                              callers->caller_end_unanswered_counts[i]);
     }
   append_metric (out, "caller_late_bytes_total", callers->late_bytes);
   append_metric (out, "caller_late_requests_total", callers->late_requests);
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -168,16 +168,23 @@
 on_connection_closed (void *ctx, const http_close_report_t *report)
 {
   sidecar_t *sidecar = ctx;
-  event_log_write (&sidecar->log, EVENT_REQUEST, "connection-cut",
-                   "end=%s unanswered=%u late-requests=%u late-bytes=%u "
-                   "quiet-ms=%lld idle-limit-ms=%lld config=%llu",
-                   http_close_reason_name (report->reason),
-                   report->unanswered_requests, report->late_requests,
-                   report->late_bytes,
-                   (long long)(report->no_progress_us / US_PER_MS),
-                   (long long)(report->idle_limit_us / US_PER_MS),
-                   (unsigned long long)operator_feed_config_version (
-                       sidecar->operator_feed));
+  event_log_write (
+      &sidecar->log, EVENT_CONNECTION, "connection-cut",
+      "end=%s caller-end=%s caller-errno=%d unanswered=%u "
+      "responses-behind=%u oldest-ms=%lld unread-bytes=%u "
+      "unparsed-bytes=%u partly-read=%d unsent-bytes=%u "
+      "unacked-bytes=%u late-requests=%u late-bytes=%u "
+      "quiet-ms=%lld idle-limit-ms=%lld config=%llu",
+      http_close_reason_name (report->reason),
+      http_caller_end_name (report->caller_end), report->caller_errno,
+      report->unanswered_requests, report->responses_behind,
+      (long long)(report->oldest_unanswered_us / US_PER_MS),
+      report->unread_bytes, report->unparsed_bytes, report->partly_read,
+      report->unsent_bytes, report->unacked_bytes, report->late_requests,
+      report->late_bytes, (long long)(report->no_progress_us / US_PER_MS),
+      (long long)(report->idle_limit_us / US_PER_MS),
+      (unsigned long long)operator_feed_config_version (
+          sidecar->operator_feed));
 }
 
 /* --- readiness and metrics --------------------------------------------- */
@@ -270,6 +277,20 @@
   http_server_stop_reading (sidecar->metrics_server);
 }
 
+static void
+log_stopped (sidecar_t *sidecar, uint32_t open_count)
+{
+  int64_t elapsed_us = sidecar->loop.now_us - sidecar->stop_begin_us;
+  http_unhandled_input_t unhandled
+      = http_server_unhandled_input (sidecar->caller_server);
+  event_log_write (&sidecar->log, EVENT_LIFECYCLE, "stopped",
+                   "after-ms=%lld open=%u connections=%u unread=%u "
+                   "partly-read=%u",
+                   (long long)(elapsed_us / US_PER_MS), open_count,
+                   http_server_stats (sidecar->caller_server).connections,
+                   unhandled.unread, unhandled.partly_read);
+}
+
 /* Advances the phase of a graceful stop, and leaves the event loop at the end
    of the stop.  */
 static void
@@ -301,10 +322,7 @@
   if ((finished && !has_unfinished_io (sidecar))
       || remaining_us <= -FLUSH_TIMEOUT_US)
     {
-      event_log_write (&sidecar->log, EVENT_LIFECYCLE, "stopped",
-                       "after-ms=%lld open=%u connections=%u",
-                       (long long)(elapsed_us / US_PER_MS), open_count,
-                       http_server_stats (sidecar->caller_server).connections);
+      log_stopped (sidecar, open_count);
       stop_reading (sidecar);
       ev_break (sidecar->loop.ev, EVBREAK_ALL);
     }
