Count and log failures of accept and frames that cannot be encoded

Callers whose connection cannot be accepted wait without an answer, and a call or reply whose frame exceeds a limit of the protocol waits until its deadline. Neither left a trace. What happens to them is the same.

Evidence: FailureToAcceptIsCounted, FailureToAcceptAPeerIsCounted, FrameThatCannotBeEncodedIsCounted.

--- a/src/edge/metrics.c
+++ b/src/edge/metrics.c
@@ -2,6 +2,17 @@
 
 #include <sys/resource.h>
 
+const char *
+listener_name (listener_t listener)
+{
+  static const char *const names[LISTENER_COUNT] = {
+    [LISTENER_CALLERS] = "callers", [LISTENER_ANNOUNCEMENTS] = "announce",
+    [LISTENER_READINESS] = "ready", [LISTENER_METRICS] = "metrics",
+    [LISTENER_PEERS] = "peer",
+  };
+  return names[listener];
+}
+
 static void
 append_metric (bytes_t *out, const char *name, uint64_t value)
 {
@@ -150,6 +161,14 @@
     append_labelled_metric (out, "peer_far_bytes_total", "kind",
                             peer_traffic_name ((peer_traffic_t)i),
                             input->peers.cross_zone_bytes[i]);
+  for (int i = 0; i < TRAFFIC_COUNT; i++)
+    append_labelled_metric (out, "peer_frames_dropped_total", "kind",
+                            peer_traffic_name ((peer_traffic_t)i),
+                            input->peers.frames_dropped[i]);
+  for (int i = 0; i < LISTENER_COUNT; i++)
+    append_labelled_metric (out, "accepts_failed_total", "listener",
+                            listener_name ((listener_t)i),
+                            input->accept_failures[i]);
   append_metric (out, "store_reads_total", input->store.reads);
   append_metric (out, "store_writes_total", input->store.writes);
   append_metric (out, "store_failures_total", input->store.failures);
--- a/src/edge/metrics.h
+++ b/src/edge/metrics.h
@@ -7,6 +7,20 @@
 #include "edge/entry_point.h"
 #include "edge/store.h"
 
+typedef enum listener_t
+{
+  LISTENER_CALLERS,
+  LISTENER_ANNOUNCEMENTS,
+  LISTENER_READINESS,
+  LISTENER_METRICS,
+  LISTENER_PEERS,
+  LISTENER_COUNT
+} listener_t;
+
+/* Returns the name of LISTENER in metrics and in the log, in static
+   storage.  */
+const char *listener_name (listener_t listener);
+
 typedef struct metrics_input_t
 {
   const loop_t *loop;
@@ -17,6 +31,7 @@
   peer_set_stats_t peers;
   store_stats_t store;
   http_server_stats_t callers;
+  uint64_t accept_failures[LISTENER_COUNT];
   uint64_t config_version;
 } metrics_input_t;
 
--- a/src/edge/peer.c
+++ b/src/edge/peer.c
@@ -213,7 +213,14 @@
   (void)events;
   int fd = accept4 (watcher->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
   if (fd < 0)
-    return;
+    {
+      if (errno != EAGAIN && errno != EINTR)
+        {
+          peers->stats.accept_failures++;
+          peers->stats.accept_errno = errno;
+        }
+      return;
+    }
   loop_set_socket_options (fd, LINK_ACK_TIMEOUT_MS);
   link_send_report (link_open (peers, fd, false), true);
 }
--- a/src/edge/peer.h
+++ b/src/edge/peer.h
@@ -158,6 +158,11 @@
   uint64_t frames_out;
   uint64_t bytes_out;
   uint64_t cross_zone_bytes[TRAFFIC_COUNT]; /* to other availability zones */
+  /* Frames that were not sent, as a string or list in them is over its limit
+     in the protocol.  */
+  uint64_t frames_dropped[TRAFFIC_COUNT];
+  uint64_t accept_failures; /* errors of accept */
+  int accept_errno;         /* the last one, or 0 */
 } peer_set_stats_t;
 
 peer_set_stats_t peer_set_stats (const peer_set_t *peers);
--- a/src/edge/peer_impl.h
+++ b/src/edge/peer_impl.h
@@ -114,7 +114,8 @@
 void link_read (peer_link_t *link);
 
 /* Queues VALUE as a frame; its encoded size is at most MAX_SIZE.  Does nothing
-   if the link is closed or VALUE exceeds a limit of the protocol.  */
+   if the link is closed; drops and counts a VALUE that exceeds a limit of the
+   protocol.  */
 void link_send_frame (peer_link_t *link, mesh_kind kind, xdrproc_t encode,
                       void *value, size_t max_size);
 void link_send_report (peer_link_t *link, bool full);
--- a/src/edge/peer_link.c
+++ b/src/edge/peer_link.c
@@ -80,7 +80,11 @@
   xdrmem_create (&xdr, frame + FRAME_HEADER_BYTES, (u_int)max_size,
                  XDR_ENCODE);
   if (!encode (&xdr, value))
-    return; /* a string over its XDR limit, which the peer would reject */
+    {
+      /* A string over its XDR limit, which the peer would reject.  */
+      link->peers->stats.frames_dropped[traffic_of_kind (kind)]++;
+      return;
+    }
   uint32_t size = xdr_getpos (&xdr);
   uint32_t header[] = { htonl (size), htonl ((uint32_t)kind) };
   memcpy (frame, header, sizeof header);
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -187,6 +187,67 @@
           sidecar->operator_feed));
 }
 
+/* --- errors without a caller to tell ------------------------------------ */
+
+typedef struct accept_failures_t
+{
+  uint64_t count; /* since the start */
+  int last_errno;
+} accept_failures_t;
+
+static accept_failures_t
+accept_failures (const sidecar_t *sidecar, listener_t listener)
+{
+  const http_server_t *const servers[LISTENER_COUNT] = {
+    [LISTENER_CALLERS] = sidecar->caller_server,
+    [LISTENER_ANNOUNCEMENTS] = sidecar->announcement_server,
+    [LISTENER_READINESS] = sidecar->readiness_server,
+    [LISTENER_METRICS] = sidecar->metrics_server,
+  };
+  if (listener == LISTENER_PEERS)
+    {
+      peer_set_stats_t peers = peer_set_stats (sidecar->peers);
+      return (accept_failures_t){ peers.accept_failures, peers.accept_errno };
+    }
+  http_server_stats_t server = http_server_stats (servers[listener]);
+  return (accept_failures_t){ server.accept_failures, server.accept_errno };
+}
+
+/* Logs new failures of accept, at most one line for each listener and
+   report.  */
+static void
+log_accept_failures (sidecar_t *sidecar)
+{
+  for (int i = 0; i < LISTENER_COUNT; i++)
+    {
+      accept_failures_t failures = accept_failures (sidecar, (listener_t)i);
+      uint64_t *logged = &sidecar->logged_accept_failures[i];
+      if (failures.count > *logged)
+        event_log_write (&sidecar->log, EVENT_CONNECTION, "accept-failed",
+                         "listener=%s errno=%d failures=%llu",
+                         listener_name ((listener_t)i), failures.last_errno,
+                         (unsigned long long)(failures.count - *logged));
+      *logged = failures.count;
+    }
+}
+
+/* Logs newly dropped frames, at most one line for each kind and report.  */
+static void
+log_dropped_frames (sidecar_t *sidecar)
+{
+  peer_set_stats_t peers = peer_set_stats (sidecar->peers);
+  for (int i = 0; i < TRAFFIC_COUNT; i++)
+    {
+      uint64_t *logged = &sidecar->logged_frames_dropped[i];
+      if (peers.frames_dropped[i] > *logged)
+        event_log_write (
+            &sidecar->log, EVENT_CONNECTION, "frame-dropped",
+            "kind=%s frames=%llu", peer_traffic_name ((peer_traffic_t)i),
+            (unsigned long long)(peers.frames_dropped[i] - *logged));
+      *logged = peers.frames_dropped[i];
+    }
+}
+
 /* --- readiness and metrics --------------------------------------------- */
 
 static bool
@@ -222,6 +283,8 @@
     .callers = http_server_stats (sidecar->caller_server),
     .config_version = operator_feed_config_version (sidecar->operator_feed),
   };
+  for (int i = 0; i < LISTENER_COUNT; i++)
+    input.accept_failures[i] = accept_failures (sidecar, (listener_t)i).count;
   bytes_t text = { 0 };
   static const char headers[] = "Content-Type: text/plain\r\n";
   metrics_write (&text, &input);
@@ -439,6 +502,8 @@
   sidecar_describe_own_server (sidecar, &server);
   placement_update_server (sidecar->placement, &server, sidecar->loop.now_us);
   sidecar->report_count++;
+  log_accept_failures (sidecar);
+  log_dropped_frames (sidecar);
   if (sidecar->report_count % TRAFFIC_LOG_EVERY == 0)
     {
       log_traffic_stats (sidecar);
--- a/src/edge/sidecar_impl.h
+++ b/src/edge/sidecar_impl.h
@@ -8,6 +8,7 @@
 #include "edge/backend_watch.h"
 #include "edge/entry_point.h"
 #include "edge/members.h"
+#include "edge/metrics.h"
 #include "edge/operator_feed.h"
 #include "edge/serve.h"
 #include "edge/sidecar.h"
@@ -88,6 +89,9 @@
   mesh_identity identity; /* storage for the identity in a full report */
   pending_report_t pending_report;
   uint32_t report_count;
+  /* What the last lines about failures of accept and dropped frames told.  */
+  uint64_t logged_accept_failures[LISTENER_COUNT];
+  uint64_t logged_frames_dropped[TRAFFIC_COUNT];
 };
 
 /* --- sidecar_report.c -------------------------------------------------- */
--- a/tests/mesh_closes_test.cc
+++ b/tests/mesh_closes_test.cc
@@ -4,7 +4,13 @@
 
 #include "support_edge.h"
 
+extern "C"
+{
+#include "edge/metrics.h"
+}
+
 #include <cerrno>
+#include <sys/resource.h>
 
 namespace
 {
@@ -271,4 +277,81 @@
   EXPECT_EQ (std::string::npos, got.find ("cut=199\n"));
   EXPECT_NE (std::string::npos, got.find (" dropped-connections="));
 }
+
+/* --- errors without a caller to tell ------------------------------------ */
+
+/* Leaves no free descriptor until it is destroyed.  */
+struct NoDescriptors
+{
+  struct rlimit before;
+
+  NoDescriptors ()
+  {
+    EXPECT_EQ (0, getrlimit (RLIMIT_NOFILE, &before));
+    int lowest_free = dup (0);
+    close (lowest_free);
+    struct rlimit none = before;
+    none.rlim_cur = (rlim_t)lowest_free;
+    EXPECT_EQ (0, setrlimit (RLIMIT_NOFILE, &none));
+  }
+  ~NoDescriptors () { setrlimit (RLIMIT_NOFILE, &before); }
+};
+
+TEST_F (Closes, FailureToAcceptIsCounted)
+{
+  caller = std::make_unique<Caller> (server->port ());
+  caller->send (READY);
+  {
+    NoDescriptors none;
+    ASSERT_TRUE (wait ([&] { return stats ().accept_failures > 0; }));
+    EXPECT_EQ (EMFILE, stats ().accept_errno);
+  }
+  EXPECT_TRUE (wait ([&] { return caller->has ("ok"); }));
+}
+
+TEST_F (Two, FailureToAcceptAPeerIsCounted)
+{
+  Caller peer (vm_id_port (peer_set_own_vm (a->peers)));
+  NoDescriptors none;
+  ASSERT_TRUE (
+      wait ([&] { return peer_set_stats (a->peers).accept_failures > 0; }));
+  EXPECT_EQ (EMFILE, peer_set_stats (a->peers).accept_errno);
+}
+
+TEST_F (Two, FrameThatCannotBeEncodedIsCounted)
+{
+  a->service = std::string (MESH_NAME_MAX + 1, 's');
+  peer_set_send_reports (a->peers, true, true);
+  peer_set_stats_t stats = peer_set_stats (a->peers);
+  EXPECT_EQ (1u, stats.frames_dropped[TRAFFIC_REPORT]);
+  EXPECT_EQ (0u, stats.frames_dropped[TRAFFIC_CALL]);
+}
+
+TEST_F (Loop, MetricsTellClosesAndSwallowedErrorsApart)
+{
+  metrics_input_t input = {};
+  bytes_t text = {};
+  input.loop = &loop;
+  input.log = &log;
+  input.callers.caller_end_counts[HTTP_CALLER_RESET] = 1;
+  input.callers.caller_end_unanswered_counts[HTTP_CALLER_SEND_FAILED] = 2;
+  input.callers.responses_behind_counts[HTTP_CLOSE_CALLER] = 3;
+  input.callers.unread_counts[HTTP_CLOSE_FREED] = 4;
+  input.peers.frames_dropped[TRAFFIC_REPLY] = 5;
+  input.accept_failures[LISTENER_CALLERS] = 6;
+  metrics_write (&text, &input);
+  std::string got (bytes_data (&text), bytes_size (&text));
+  bytes_free (&text);
+  const char *const lines[]
+      = { "caller_ends_total{caller_end=\"reset\"} 1",
+          "caller_ends_unanswered_total{caller_end=\"send-failed\"} 2",
+          "caller_responses_held_back_total{end=\"caller\"} 3",
+          "caller_connections_unread_total{end=\"freed\"} 4",
+          "peer_frames_dropped_total{kind=\"answer\"} 5",
+          "accepts_failed_total{listener=\"callers\"} 6" };
+  for (const char *line : lines)
+    EXPECT_NE (std::string::npos,
+               got.find ("redwingford_" + std::string (line) + "\n"))
+        << line;
+}
 }
