Give a new connection time for its first request during a stop

Callers that connected to a stopping sidecar saw their connection closed before their request arrived there: tries "cut, no answer".

Cause: a drain closes idle connections, and took one that had just been accepted for idle. At the end of the stop, connections that waited in the kernel were reset with the listener, and new ones were freed.

A drain now leaves a connection 0.5 s for its first request (or reads it, if it has arrived); what waits is accepted before the listener closes; the listener closes when nothing is open, and the process ends when no new connection waits for its first request.

Evidence: DrainLeavesTimeForTheFirstRequest and ConnectionThatWaitsToBeAcceptedIsServedAfterTheListenerCloses fail before.

DrainContinuesWhenARequestItReadsClosesAnotherConnection expected a drain to close a connection that had brought no request. Its idle connection now has had a request answered first; what it expects is the same.

--- a/src/edge/http_reader.c
+++ b/src/edge/http_reader.c
@@ -39,6 +39,7 @@
 on_message_begin (http_parser *parser)
 {
   http_connection_t *connection = parser->data;
+  connection->request_begun = true;
   connection->incoming = connection_new_exchange (connection);
   connection->limits = connection->server->limits;
   connection->last_progress_us = connection->server->loop->now_us;
--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -79,26 +79,31 @@
   server->stats.accept_errno = errno;
 }
 
+/* Returns false when no connection waits, or accepting it failed.  */
+static bool
+accept_connection (http_server_t *server)
+{
+  struct sockaddr_in from = { 0 };
+  socklen_t size = sizeof from;
+  int fd = accept4 (server->acceptor.fd, (struct sockaddr *)&from, &size,
+                    SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (fd < 0)
+    {
+      count_accept_failure (server);
+      return false;
+    }
+  connection_open (server, fd, ntohl (from.sin_addr.s_addr));
+  return true;
+}
+
 static void
 on_acceptable (struct ev_loop *ev, ev_io *acceptor, int events)
 {
-  http_server_t *server = acceptor->data;
   (void)ev;
   (void)events;
-
   for (int i = 0; i < ACCEPTS_PER_ITERATION; i++)
-    {
-      struct sockaddr_in from = { 0 };
-      socklen_t size = sizeof from;
-      int fd = accept4 (acceptor->fd, (struct sockaddr *)&from, &size,
-                        SOCK_NONBLOCK | SOCK_CLOEXEC);
-      if (fd < 0)
-        {
-          count_accept_failure (server);
-          return;
-        }
-      connection_open (server, fd, ntohl (from.sin_addr.s_addr));
-    }
+    if (!accept_connection (acceptor->data))
+      return;
 }
 
 http_server_t *
@@ -136,6 +141,8 @@
   if (!ev_is_active (&server->acceptor))
     return;
   ev_io_stop (server->loop->ev, &server->acceptor);
+  while (accept_connection (server))
+    ;
   close (server->acceptor.fd);
 }
 
@@ -211,7 +218,8 @@
 {
   for (const http_connection_t *connection = server->connections;
        connection != NULL; connection = connection->next)
-    if (connection->incoming != NULL)
+    if (connection->incoming != NULL
+        || (server->draining && connection_awaits_first_request (connection)))
       return true;
   return http_server_has_unacked_output (server);
 }
@@ -242,7 +250,9 @@
 static void
 drain_connection (http_connection_t *connection)
 {
-  if (connection_is_idle (connection))
+  if (connection_awaits_first_request (connection))
+    connection_read (connection);
+  else if (connection_is_idle (connection))
     connection_close_idle (connection, HTTP_CLOSE_DRAINED);
 }
 
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -124,7 +124,8 @@
                              const http_limits_t *limits, int64_t notice_us);
 
 /* From now on each response closes its connection, unless more requests wait
-   on it, and idle connections are closed.  */
+   on it, and idle connections are closed.  A new connection is given time to
+   bring its first request.  */
 void http_server_drain (http_server_t *server);
 
 /* Whether any connection has output that is not yet sent, or not yet
@@ -141,15 +142,16 @@
 http_unhandled_input_t
 http_server_unhandled_input (const http_server_t *server);
 
-/* Whether http_server_has_unacked_output, or a request has been read in
-   part.  */
+/* Whether http_server_has_unacked_output, or a request has been read in part,
+   or, while the server drains, a new connection waits for its first
+   request.  */
 bool http_server_is_busy (const http_server_t *server);
 
 /* Stops listening and reading, even if data has arrived.  Unread data stays in
    the kernel, which therefore resets the connection when it is closed.  */
 void http_server_stop_reading (http_server_t *server);
 
-/* Stops accepting connections.  */
+/* Accepts the connections that wait for it, then no more.  */
 void http_server_stop_listening (http_server_t *server);
 
 /* Returns the port that the server listens on.  */
--- a/src/edge/http_server_impl.h
+++ b/src/edge/http_server_impl.h
@@ -48,6 +48,7 @@
   uint32_t caller_ip;
   int parse_error_status; /* HTTP status to refuse the request with, or 0 */
   http_close_report_t close_report;
+  bool request_begun; /* the first byte of any request has been read */
   bool reading_paused;
   bool last_request_read; /* no further request is read */
   bool close_after_flush; /* close when all output is sent */
@@ -129,6 +130,9 @@
 /* Whether no request is open and no response is still to be sent.  */
 bool connection_is_idle (const http_connection_t *connection);
 
+/* Whether the connection is new and its first request has not arrived.  */
+bool connection_awaits_first_request (const http_connection_t *connection);
+
 /* Closes an idle connection for REASON, unless a request has arrived on its
    socket or its caller is still acknowledging the last response.  */
 void connection_close_idle (http_connection_t *connection,
--- a/src/edge/http_sweep.c
+++ b/src/edge/http_sweep.c
@@ -4,8 +4,10 @@
 {
   /* Time for the caller to read the last response and close.  */
   LINGER_TIMEOUT_US = 1000 * US_PER_MS,
-  /* Time for a connection's next request while the server drains.  */
-  DRAIN_IDLE_TIMEOUT_US = 100 * US_PER_MS
+  /* Time for a connection's next and first request while the server drains.
+     A caller may send the first one some time after it connects.  */
+  DRAIN_IDLE_TIMEOUT_US = 100 * US_PER_MS,
+  DRAIN_FIRST_REQUEST_TIMEOUT_US = 500 * US_PER_MS
 };
 
 /* While reading is paused, only this check detects that the caller has
@@ -47,6 +49,12 @@
          && bytes_size (&connection->output) == 0;
 }
 
+bool
+connection_awaits_first_request (const http_connection_t *connection)
+{
+  return !connection->request_begun && connection_is_idle (connection);
+}
+
 /* First reads what has arrived.  If more arrives later, the kernel resets the
    connection, so that the caller knows that it was not processed.  A reset
    would also discard the rest of a response, so the caller must have
@@ -112,7 +120,9 @@
   if (!connection_is_idle (connection))
     return false;
   if (server->draining)
-    return no_progress_us (connection) > DRAIN_IDLE_TIMEOUT_US;
+    return no_progress_us (connection)
+           > (connection->request_begun ? DRAIN_IDLE_TIMEOUT_US
+                                        : DRAIN_FIRST_REQUEST_TIMEOUT_US);
   return exceeds_both (no_progress_us (connection),
                        connection->limits.idle_timeout_us,
                        server->limits.idle_timeout_us);
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -382,11 +382,14 @@
   bool finished = drained
                   || (sidecar->phase == PHASE_FLUSHING
                       && runner_open_run_count (sidecar->runner) == 0);
+  /* Callers that connect from now on are refused, and go elsewhere.  */
+  if (finished)
+    http_server_stop_listening (sidecar->caller_server);
   if ((finished && !has_unfinished_io (sidecar))
       || remaining_us <= -FLUSH_TIMEOUT_US)
     {
-      log_stopped (sidecar, open_count);
       stop_reading (sidecar);
+      log_stopped (sidecar, open_count);
       ev_break (sidecar->loop.ev, EVBREAK_ALL);
     }
 }
--- a/tests/mesh_closes_test.cc
+++ b/tests/mesh_closes_test.cc
@@ -258,6 +258,45 @@
   EXPECT_TRUE (reports.empty ());
 }
 
+/* --- connections that wait for their first request ---------------------- */
+
+TEST_F (Closes, DrainLeavesTimeForTheFirstRequest)
+{
+  http_server_drain (server->server);
+  ASSERT_EQ (1u, stats ().connections);
+  EXPECT_TRUE (http_server_is_busy (server->server));
+  caller->send (READY);
+  ASSERT_TRUE (wait ([&] { return caller->is_over (); }));
+  EXPECT_TRUE (caller->has ("ok"));
+  EXPECT_TRUE (caller->has ("Connection: close"));
+}
+
+TEST_F (Closes, DrainClosesAConnectionThatBringsNoRequest)
+{
+  http_server_drain (server->server);
+  ASSERT_TRUE (wait ([&] { return caller->is_over (); }));
+  EXPECT_EQ (1u, stats ().close_counts[HTTP_CLOSE_DRAINED]);
+  EXPECT_FALSE (http_server_is_busy (server->server));
+}
+
+TEST_F (Closes, DrainClosesAUsedConnection)
+{
+  send_until_read (READY, 1);
+  ASSERT_TRUE (wait ([&] { return caller->has ("ok"); }));
+  http_server_drain (server->server);
+  EXPECT_FALSE (http_server_is_busy (server->server));
+  EXPECT_TRUE (wait ([&] { return caller->is_over (); }));
+}
+
+TEST_F (Closes, ConnectionThatWaitsToBeAcceptedIsServedAfterTheListenerCloses)
+{
+  Caller late (server->port ());
+  late.send (READY);
+  http_server_stop_listening (server->server);
+  ASSERT_TRUE (wait ([&] { return late.has ("ok") || late.reset; }));
+  EXPECT_TRUE (late.has ("ok"));
+}
+
 /* --- the log ------------------------------------------------------------ */
 
 TEST_F (Loop, RefusalsDoNotDisplaceLinesAboutConnections)
--- a/tests/mesh_unanswered_test.cc
+++ b/tests/mesh_unanswered_test.cc
@@ -144,6 +144,14 @@
 {
   Server server (&loop, limits ());
   Caller idle (server.port ());
+  server.answer = [] (http_exchange_t *exchange) {
+    http_respond (exchange, 200, nullptr, 0, "ok", 2);
+  };
+  idle.send (get_request ("/first"));
+  ASSERT_TRUE (wait ([&] {
+    return idle.has ("ok") && !http_server_has_unacked_output (server.server);
+  }));
+  server.answer = nullptr;
   Caller waiting (server.port ());
   waiting.send (get_request ("/waiting"));
   ASSERT_TRUE (wait ([&] {
