--- a/src/edge/http_reader.c
+++ b/src/edge/http_reader.c
@@ -39,6 +39,7 @@
 on_message_begin (http_parser *parser)
 {
   http_connection_t *connection = parser->data;
+  connection->request_begun = true;
   connection->incoming = connection_new_exchange (connection);
   connection->limits = connection->server->limits;
   connection->last_progress_us = connection->server->loop->now_us;
@@ -234,7 +235,8 @@
   if (!loop_peer_has_closed (connection->reader.fd))
     return false;
   connection->server->stats.reads_abandoned++;
-  connection_close (connection, HTTP_CLOSE_CALLER);
+  connection_close_ended (connection, HTTP_CALLER_FOUND_CLOSED,
+                          loop_socket_error (connection->reader.fd));
   return true;
 }
 
@@ -299,7 +301,9 @@
     return;
   if (size <= 0)
     {
-      connection_close (connection, HTTP_CLOSE_CALLER);
+      connection_close_ended (
+          connection, size == 0 ? HTTP_CALLER_CLOSED : HTTP_CALLER_RESET,
+          size == 0 ? 0 : errno);
       return;
     }
   if (connection->lingering)
--- a/src/edge/peer_link.c
+++ b/src/edge/peer_link.c
@@ -81,7 +81,8 @@
                  XDR_ENCODE);
   if (!encode (&xdr, value))
     {
-      link->peers->stats.frames_too_large++;
+      /* A string over its XDR limit, which the peer would reject.  */
+      link->peers->stats.frames_dropped[traffic_of_kind (kind)]++;
       return false;
     }
   uint32_t size = xdr_getpos (&xdr);
