Act on a SIGHUP that comes while a sidecar starts

A sidecar that got SIGHUP as it started died of it, or went on with the settings of before: cmd_sidecar ignored the signal from its first line until the event loop had a handler. A settings file that changed after it was read and before the handler was never read again.

SIGHUP is now blocked before the shared libraries are initialized, and unblocked once the handler is there. One that comes between stays pending and leads to a reload.

Reload.ASidecarThatStartsOutlivesIt, now with a SIGHUP at the initialization of the libraries, and Reload.ASidecarThatReadsItsSettingsActsOnIt failed before: no "started", and no "settings-reloaded".

The dynamic linker runs before any code of the program.

The earlier test ASidecarThatStartsOutlivesIt sent its SIGHUP while the settings were read from a FIFO. ASidecarThatReadsItsSettingsActsOnIt does the same and also wants the new file read; the FIFO is replaced by a file first, since the reload opens the path again.

--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -550,6 +550,15 @@
   ev_signal_start (sidecar->loop.ev, watcher);
 }
 
+static void
+unblock_signal (int signal_number)
+{
+  sigset_t set;
+  sigemptyset (&set);
+  sigaddset (&set, signal_number);
+  sigprocmask (SIG_UNBLOCK, &set, NULL);
+}
+
 static bool
 create_components (sidecar_t *sidecar, error_info_t *error)
 {
@@ -663,6 +672,7 @@
   start_signal (sidecar, &sidecar->sigterm_watcher, on_stop_signal, SIGTERM);
   start_signal (sidecar, &sidecar->sigint_watcher, on_stop_signal, SIGINT);
   start_signal (sidecar, &sidecar->sighup_watcher, on_sighup, SIGHUP);
+  unblock_signal (SIGHUP);
   ev_run (sidecar->loop.ev, 0);
 }
 
--- a/src/edge/sidecar.h
+++ b/src/edge/sidecar.h
@@ -20,7 +20,8 @@
 
 /* Runs until SIGTERM or SIGINT and the graceful stop that follows, which takes
    at most stop_s seconds.  SIGHUP reloads the settings stop_s and memory_mb;
-   the latter takes effect with the next configuration.  */
+   the latter takes effect with the next configuration.  SIGHUP may be blocked
+   before; it is unblocked here, so that one that is pending is acted on.  */
 void sidecar_run (sidecar_t *sidecar);
 
 /* SIDECAR may be NULL.  */
--- a/src/main.c
+++ b/src/main.c
@@ -1,4 +1,5 @@
 #include <argp.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -98,6 +99,27 @@
   .help_filter = filter_help,
 };
 
+/* Blocks SIGHUP in a sidecar.  One that arrives stays pending until the event
+   loop can handle it.  */
+static void
+hold_reload_requests (int argc, char **argv, char **environment)
+{
+  sigset_t reload;
+
+  (void)environment;
+  if (argc < 2 || strcmp (argv[1], "sidecar") != 0)
+    return;
+  sigemptyset (&reload);
+  sigaddset (&reload, SIGHUP);
+  sigprocmask (SIG_BLOCK, &reload, NULL);
+}
+
+/* Runs before the shared libraries are initialized, which takes
+   milliseconds.  */
+__attribute__ ((section (".preinit_array"), used)) static void (
+        *const hold_reload_requests_first) (int, char **, char **)
+    = hold_reload_requests;
+
 int
 main (int argc, char **argv)
 {
--- a/tests/live_reload_test.cc
+++ b/tests/live_reload_test.cc
@@ -57,6 +57,27 @@
     close (log[1]);
     log[1] = -1;
   }
+  /* Starts a sidecar that sends itself a SIGHUP as soon as its shared
+     libraries are initialized.  */
+  void
+  start_with_early_sighup ()
+  {
+    const char *build = getenv ("REDWINGFORD_BUILD");
+    std::string library (build != nullptr ? build : ".");
+    setenv ("LD_PRELOAD", (library + "/libpreload_sighup.so").c_str (), 1);
+    start ();
+    unsetenv ("LD_PRELOAD");
+  }
+  /* Replaces the file of the settings, which readers of the old one keep.  */
+  void
+  replace_settings (const char *more)
+  {
+    ASSERT_EQ (0, unlink (path));
+    FILE *file = fopen (path, "w");
+    ASSERT_NE (nullptr, file);
+    fprintf (file, "%.*s%s}", (int)sizeof SETTINGS - 2, SETTINGS, more);
+    fclose (file);
+  }
   bool
   prints (const std::string &text)
   {
@@ -70,8 +91,20 @@
           break;
         printed.append (block, size);
       }
+    return has_printed (text);
+  }
+  bool
+  has_printed (const std::string &text)
+  {
     return printed.find (text) != std::string::npos;
   }
+  void
+  stop ()
+  {
+    proc_signal (&sidecar, SIGTERM);
+    EXPECT_TRUE (prints ("event=stopped")) << printed;
+    EXPECT_EQ (0, proc_wait (&sidecar, PROC_WAIT_MS));
+  }
   /* Opens the writing end once the sidecar reads its settings.  */
   int
   open_when_read ()
@@ -93,19 +126,29 @@
 };
 
 TEST_F (Reload, ASidecarThatStartsOutlivesIt)
+{
+  start_with_early_sighup ();
+  ASSERT_TRUE (prints ("started")) << printed;
+  stop ();
+  EXPECT_TRUE (has_printed ("settings-reloaded")) << printed;
+}
+
+TEST_F (Reload, ASidecarThatReadsItsSettingsActsOnIt)
 {
   ASSERT_EQ (0, unlink (path));
   ASSERT_EQ (0, mkfifo (path, 0600));
   start ();
   int settings = open_when_read ();
   ASSERT_GE (settings, 0);
+  replace_settings (R"(,"stop_s":7,"memory_mb":96)");
   proc_signal (&sidecar, SIGHUP);
   ASSERT_EQ ((ssize_t)sizeof SETTINGS - 1,
              write (settings, SETTINGS, sizeof SETTINGS - 1));
   close (settings);
-  EXPECT_TRUE (prints ("started")) << printed;
-  proc_signal (&sidecar, SIGTERM);
-  EXPECT_EQ (0, proc_wait (&sidecar, PROC_WAIT_MS));
+  ASSERT_TRUE (prints ("started")) << printed;
+  stop ();
+  EXPECT_TRUE (has_printed ("settings-reloaded stop-s=7 memory-mb=96"))
+      << printed;
 }
 
 TEST_F (Reload, ASidecarThatRunsReadsItsSettingsAgain)
