Soak: send a SIGHUP to a process whose program is loaded

Between fork and exec the signal meets the soak's own code, and until the dynamic linker is done none of the sidecar's; neither can keep the signal from ending the process.

The soak now waits until the process blocks or handles SIGHUP, as its status says, and sends it then. The settings are still changed at once, and a process that never takes the signal is sent it all the same after the usual limit, so that its end counts.

--- a/tests/support_proc.c
+++ b/tests/support_proc.c
@@ -156,6 +156,34 @@
     kill (proc->pid, signal_number);
 }
 
+/* Returns the set of signals in the line KEY of the status of PID.  */
+static uint64_t
+signal_set (pid_t pid, const char *key)
+{
+  char path[64];
+  char line[128];
+  uint64_t set = 0;
+
+  snprintf (path, sizeof path, "/proc/%d/status", (int)pid);
+  FILE *file = fopen (path, "re");
+  if (file == NULL)
+    return 0;
+  while (fgets (line, sizeof line, file) != NULL)
+    if (strncmp (line, key, strlen (key)) == 0)
+      set = strtoull (line + strlen (key), NULL, 16);
+  fclose (file);
+  return set;
+}
+
+bool
+proc_outlives_signal (const proc_t *proc, int signal_number)
+{
+  uint64_t set
+      = signal_set (proc->pid, "SigBlk:") | signal_set (proc->pid, "SigCgt:");
+
+  return (set >> (signal_number - 1) & 1) != 0;
+}
+
 int
 proc_wait (proc_t *proc, int wait_ms)
 {
--- a/tests/support_proc.h
+++ b/tests/support_proc.h
@@ -42,6 +42,10 @@
 
 void proc_signal (const proc_t *proc, int signal_number);
 
+/* Returns whether the process blocks or handles the signal.  One that has just
+   been started does so only once its program is loaded.  */
+bool proc_outlives_signal (const proc_t *proc, int signal_number);
+
 /* Waits for the end: its exit status, 128 + the signal that ended it, or -1
    when it did not end in WAIT_MS.  */
 int proc_wait (proc_t *proc, int wait_ms);
--- a/tests/support_world.c
+++ b/tests/support_world.c
@@ -1032,6 +1032,13 @@
   write_settings (at);
 }
 
+static bool
+outlives_sighup (void *ctx)
+{
+  const sidecar_t *at = ctx;
+  return proc_outlives_signal (&at->proc, SIGHUP);
+}
+
 void
 world_signal (world_t *world, int number, int signal_number)
 {
@@ -1039,6 +1046,9 @@
   at->trouble_us = world->loop.now_us;
   if (!check_running (at))
     return;
+  /* No program can keep a SIGHUP from ending it before it is loaded.  */
+  if (signal_number == SIGHUP)
+    proc_wait_until (outlives_sighup, at, PROC_WAIT_MS);
   proc_signal (&at->proc, signal_number);
   if (signal_number == SIGKILL)
     at->killed = true;
