Keep a draining connection open for a request that has arrived

While a sidecar drains, the response to the only request of a connection says "Connection: close", and what arrives later is read and thrown away. A request that had arrived before the response was made, but was not read yet, was thrown away too: it was sent while the connection was open, and its caller got neither an answer nor a refusal to it, only the notice on an earlier response.

The response is now the last one only if the socket holds no unread data. Otherwise the request is read in the next turn and answered, and the response to it ends the connection, or the drain does once it is idle.

Test: Loop.RequestThatArrivesBeforeADrainedResponseIsAnswered ended with one late request before.

--- a/src/edge/http_answer.c
+++ b/src/edge/http_answer.c
@@ -38,7 +38,8 @@
     loop_defer (connection->server->loop, &connection->resume_task);
 }
 
-/* Whether this response is the last one on its connection.  */
+/* Whether this response is the last one on its connection.  While the server
+   drains, it is unless another request has arrived.  */
 static bool
 is_last_response (const http_exchange_t *exchange)
 {
@@ -47,7 +48,8 @@
                           && connection->incoming == NULL
                           && bytes_size (&connection->unparsed_input) == 0;
   return exchange->close_after
-         || (connection->server->draining && is_only_exchange);
+         || (connection->server->draining && is_only_exchange
+             && !loop_has_unread_data (connection->reader.fd));
 }
 
 static void
--- a/src/edge/loop.c
+++ b/src/edge/loop.c
@@ -138,6 +138,13 @@
          && (poll_fd.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+bool
+loop_has_unread_data (int fd)
+{
+  int bytes = 0;
+  return ioctl (fd, FIONREAD, &bytes) == 0 && bytes > 0;
+}
+
 size_t
 loop_unacked_bytes (int fd)
 {
--- a/src/edge/loop.h
+++ b/src/edge/loop.h
@@ -88,6 +88,9 @@
    that the peer sent before is still unread.  */
 bool loop_peer_has_closed (int fd);
 
+/* Returns whether data that the peer sent is still unread.  */
+bool loop_has_unread_data (int fd);
+
 /* Returns how many of the bytes sent the peer has not acknowledged, or 0 if
    the kernel does not tell.  */
 size_t loop_unacked_bytes (int fd);
--- a/tests/mesh_unanswered_test.cc
+++ b/tests/mesh_unanswered_test.cc
@@ -138,6 +138,29 @@
                             return std::string (row.param.name);
                           });
 
+/* While a server drains, a response ends its connection only if no request has
+   arrived behind it.  */
+TEST_F (Loop, RequestThatArrivesBeforeADrainedResponseIsAnswered)
+{
+  Server server (&loop, limits ());
+  Caller caller (server.port ());
+  caller.send (get_request ("/first"));
+  ASSERT_TRUE (wait ([&] { return server.open.size () == 1; }));
+  http_server_drain (server.server);
+  caller.send (get_request ("/second"));
+  http_respond (server.open[0], 200, nullptr, 0, "first", 5);
+  server.open.clear ();
+  ASSERT_TRUE (wait ([&] {
+    return !server.open.empty ()
+           || http_server_stats (server.server).late_requests > 0;
+  }));
+  ASSERT_EQ (0u, http_server_stats (server.server).late_requests);
+  http_respond (server.open[0], 200, nullptr, 0, "second", 6);
+  EXPECT_TRUE (wait ([&] { return caller.is_over (); }));
+  EXPECT_TRUE (caller.has ("first"));
+  EXPECT_TRUE (caller.has ("second"));
+}
+
 /* A drain reads the requests that have arrived.  Handling one may close
    another connection while the drain goes through the list.  */
 TEST_F (Loop, DrainContinuesWhenARequestItReadsClosesAnotherConnection)
