Send the responses of the last turn before a sidecar exits

Responses are sent by a deferred task, once before the event loop waits again. In the turn that ends the loop that task no longer runs. So a request that was read in this turn and answered or refused at once got nothing: at the end of the flush time, with any caller, and at the end of every stop on the listeners of announcements, health checks and metrics, whose output the stop does not wait for.

http_server_stop_reading, which the stop calls before it leaves the loop, now sends what is buffered, as far as the sockets take it. The loop that an aborted response used for this has moved to http_connection.c.

Test: Loop.ResponseMadeAsTheLoopEndsIsSent got the end of the connection instead of its response before.

--- a/src/edge/http_answer.c
+++ b/src/edge/http_answer.c
@@ -129,21 +129,6 @@
   retire_complete_exchanges (connection);
 }
 
-/* Sends what was written before the response was aborted, as far as the socket
-   takes it.  */
-static void
-send_buffered_output (http_connection_t *connection)
-{
-  ssize_t sent = 1;
-  while (sent > 0 && bytes_size (&connection->output) > 0)
-    {
-      sent = send (connection->reader.fd, bytes_data (&connection->output),
-                   bytes_size (&connection->output), MSG_NOSIGNAL);
-      if (sent > 0)
-        bytes_consume (&connection->output, (size_t)sent);
-    }
-}
-
 void
 http_abort_response (http_exchange_t *exchange)
 {
@@ -157,7 +142,7 @@
       return;
     }
   if (!exchange->ends_at_close)
-    send_buffered_output (connection);
+    connection_send_output (connection);
   exchange->response_state = HTTP_RESPONSE_COMPLETE;
   connection->close_report.unanswered_requests++;
   connection->server->stats.open_exchanges--;
--- a/src/edge/http_connection.c
+++ b/src/edge/http_connection.c
@@ -241,6 +241,19 @@
     notify_output_drained (connection);
 }
 
+void
+connection_send_output (http_connection_t *connection)
+{
+  ssize_t sent = 1;
+  while (sent > 0 && bytes_size (&connection->output) > 0)
+    {
+      sent = send (connection->reader.fd, bytes_data (&connection->output),
+                   bytes_size (&connection->output), MSG_NOSIGNAL);
+      if (sent > 0)
+        bytes_consume (&connection->output, (size_t)sent);
+    }
+}
+
 static void
 on_writable (struct ev_loop *ev, ev_io *writer, int events)
 {
--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -194,7 +194,10 @@
   http_server_stop_listening (server);
   for (http_connection_t *connection = server->connections; connection != NULL;
        connection = connection->next)
-    ev_io_stop (server->loop->ev, &connection->reader);
+    {
+      ev_io_stop (server->loop->ev, &connection->reader);
+      connection_send_output (connection);
+    }
 }
 
 static void
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -120,7 +120,8 @@
    part.  */
 bool http_server_is_busy (const http_server_t *server);
 
-/* Stops listening and reading, even if data has arrived.  Unread data stays in
+/* Stops listening and reading, even if data has arrived, and sends the
+   responses made so far as far as the sockets take them.  Unread data stays in
    the kernel, which therefore resets the connection when it is closed.  */
 void http_server_stop_reading (http_server_t *server);
 
--- a/src/edge/http_server_impl.h
+++ b/src/edge/http_server_impl.h
@@ -95,6 +95,9 @@
 void connection_flush (void *connection);
 void connection_schedule_flush (http_connection_t *connection);
 
+/* Sends what is buffered as far as the socket takes it, before a close.  */
+void connection_send_output (http_connection_t *connection);
+
 /* Loop task: frees the closed connections of SERVER, an http_server_t.  */
 void connection_free_closed (void *server);
 
--- a/tests/mesh_ends_test.cc
+++ b/tests/mesh_ends_test.cc
@@ -127,6 +127,39 @@
   }));
 }
 
+/* The deferred sending of responses does not run after the end of the event
+   loop.  */
+TEST_F (Loop, ResponseMadeAsTheLoopEndsIsSent)
+{
+  auto server = std::make_unique<Server> (&loop, limits ());
+  Caller caller (server->port ());
+  struct
+  {
+    ev_timer timer;
+    http_server_t *server;
+  } stop;
+  stop.server = server->server;
+  ev_timer_init (
+      &stop.timer,
+      [] (struct ev_loop *ev, ev_timer *timer, int) {
+        http_server_stop_reading (*(http_server_t **)timer->data);
+        ev_break (ev, EVBREAK_ALL);
+      },
+      0, 0);
+  stop.timer.data = &stop.server;
+  server->answer = [&] (http_exchange_t *exchange) {
+    http_respond (exchange, 200, nullptr, 0, "ok", 2);
+    loop_start_timer (&loop, &stop.timer, 0);
+    ev_invoke (loop.ev, &stop.timer, EV_TIMER);
+  };
+  caller.send (get ("/"));
+  ev_run (loop.ev, 0);
+  ev_timer_stop (loop.ev, &stop.timer);
+  server.reset ();
+  EXPECT_TRUE (wait ([&] { return caller.has ("ok") || caller.is_over (); }));
+  EXPECT_TRUE (caller.has ("ok"));
+}
+
 /* The rest of the request may have arrived already.  */
 TEST_F (Loop, ServerIsBusyWhileARequestIsPartlyRead)
 {
