Send a request to no server once its time is over

A request whose time was over when it had been read was sent to a server all the same, and its timer fired in the same turn. If the server stood on another VM, the caller got 504, as the request might have run there, and its account got no quota token back. This happens beside a change that lowers a route's timeout: the body of a request arrives for three seconds, and meanwhile the timeout becomes one second. Beside the server itself the same request got 503, after it had been offered to each server of the service.

exchange_place now refuses a request past its last moment before it looks for a server. Its answer is 503 unless an earlier attempt may have run.

--- a/src/edge/entry_impl.h
+++ b/src/edge/entry_impl.h
@@ -161,8 +161,9 @@
 /* --- entry_place.c ----------------------------------------------------- */
 
 /* Sends the request to one server after the other until one accepts it.  If
-   none does, the exchange waits for a server or responds with an error.  The
-   exchange may have been freed on return.  */
+   none does, the exchange waits for a server or responds with an error.  A
+   request whose time is over is sent to none.  The exchange may have been
+   freed on return.  */
 void exchange_place (exchange_t *exchange);
 
 /* Asks the sidecar that the request was sent to for its outcome, or schedules
--- a/src/edge/entry_place.c
+++ b/src/edge/entry_place.c
@@ -213,6 +213,11 @@
       exchange_give_up (exchange, ENTRY_STOPPING);
       return;
     }
+  if (last_moment_us (exchange) <= now_us)
+    {
+      exchange_give_up (exchange, ENTRY_DEADLINE_PASSED);
+      return;
+    }
   while (exchange->tried_count < SERVERS_TRIED_MAX
          && placement_pick_server (entry->deps.placement, exchange->service,
                                    exchange->tried_vms, exchange->tried_count,
--- a/tests/mesh_policy_read_test.cc
+++ b/tests/mesh_policy_read_test.cc
@@ -100,6 +100,8 @@
     = make_spec ([] (ConfigSpec *spec) { spec->timeout_s = 10; });
 const ConfigSpec longer
     = make_spec ([] (ConfigSpec *spec) { spec->timeout_s = 300; });
+const ConfigSpec no_time
+    = make_spec ([] (ConfigSpec *spec) { spec->timeout_s = 0; });
 const ConfigSpec kinds_swapped
     = make_spec ([] (ConfigSpec *spec) { spec->kinds_swapped = true; });
 const ConfigSpec one_attempt
@@ -132,6 +134,7 @@
   { "RouteSplit", { split }, NO_EVENT, 200 },
   { "ShorterTimeout", { shorter }, NO_EVENT, 200 },
   { "LongerTimeout", { longer }, NO_EVENT, 200 },
+  { "NoTime", { no_time }, NO_EVENT, 503 },
   { "KindsSwapped", { kinds_swapped }, NO_EVENT, 200 },
   { "OneAttempt", { one_attempt }, NO_EVENT, 200 },
   { "AccountRemoved", { no_account }, NO_EVENT, 401 },
@@ -445,4 +448,103 @@
                                    + std::get<1> (row.param).name
                                    + std::get<2> (row.param).name;
                           });
+
+/* --- time that passes while a request is read --------------------------- */
+
+/* The system's clock, moved on by hand.  */
+int64_t skipped_us;
+
+struct timespec
+read_skipping_clock (void *)
+{
+  int64_t us = clock_now_us (clock_system ()) + skipped_us;
+  return { us / US_PER_S, us % US_PER_S * NS_PER_US };
+}
+
+const clock_source_t skipping_clock
+    = { read_skipping_clock, read_skipping_clock, nullptr };
+
+struct SlowBodyRow
+{
+  const char *name;
+  const char *path;
+  int timeout_s; /* of the route when the body begins */
+  int next_timeout_s;
+  int status;
+};
+
+/* The body of a request takes three seconds, and the timeout of its route
+   changes meanwhile.  */
+class SlowBody : public ReadUnderChange,
+                 public testing::WithParamInterface<SlowBodyRow>
+{
+protected:
+  void
+  SetUp () override
+  {
+    ReadUnderChange::SetUp ();
+    skipped_us = 0;
+    loop.clock = &skipping_clock;
+  }
+  /* Skips US in steps that are short enough for links to stay up.  */
+  void
+  skip (int64_t us)
+  {
+    const int64_t STEP_US = 200 * US_PER_MS;
+    for (int64_t end_us = skipped_us + us; skipped_us < end_us;)
+      {
+        uint64_t a_frames = peer_set_stats (a->peers).frames_in;
+        uint64_t b_frames = peer_set_stats (b->peers).frames_in;
+        skipped_us += STEP_US;
+        tick ();
+        ASSERT_TRUE (wait ([&] {
+          return peer_set_stats (a->peers).frames_in > a_frames
+                 && peer_set_stats (b->peers).frames_in > b_frames;
+        }));
+      }
+  }
+  ConfigSpec
+  with_timeout (int timeout_s)
+  {
+    return make_spec ([&] (ConfigSpec *spec) { spec->timeout_s = timeout_s; });
+  }
+};
+
+TEST_P (SlowBody, IsHeldToTheTimeoutInForceAtItsEnd)
+{
+  const SlowBodyRow &row = GetParam ();
+  std::string text = request_text (row.path, "id-1", BODY_BYTES);
+  configure (with_timeout (row.timeout_s));
+  connect (*a);
+  caller->send (text.substr (0, text.size () - 1));
+  ASSERT_TRUE (wait ([&] {
+    return http_server_stats (a->callers).body_bytes == BODY_BYTES - 1;
+  }));
+  ASSERT_NO_FATAL_FAILURE (skip (3 * US_PER_S));
+  configure (with_timeout (row.next_timeout_s));
+  caller->send (text.substr (text.size () - 1));
+  respond_from_now_on ();
+  ASSERT_TRUE (wait ([&] {
+    take_responses ();
+    return response_count == 1 || caller->ended;
+  }));
+  EXPECT_EQ (row.status, last_status);
+  EXPECT_EQ (row.status == 200 ? 1u : 0u, runs (row.path));
+  EXPECT_EQ (row.status == 200 ? 1u : 0u,
+             entry_stats (a->entry).placed_remote);
+}
+
+const SlowBodyRow slow_body_rows[] = {
+  { "ReadWithSameTimeout", "/read/1", 10, 10, 200 },
+  { "ReadWithShorterTimeout", "/read/1", 10, 1, 503 },
+  { "ReadWithLongerTimeout", "/read/1", 1, 10, 200 },
+  { "BookingWithSameTimeout", "/book/1", 10, 10, 200 },
+  { "BookingWithShorterTimeout", "/book/1", 10, 1, 503 },
+  { "BookingWithLongerTimeout", "/book/1", 1, 10, 200 },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, SlowBody, testing::ValuesIn (slow_body_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
 }
