Count the requests that are read and discarded before the last response

Callers of a stopping sidecar saw tries "cut, no answer" of which the log said nothing: requests that arrived behind the last one of a connection, but before the response to it was sent, were read and discarded uncounted. Only those that arrived after it were counted.

Both count as late requests now. connection-cut has requests, and also tells of connections that a stop ended before their first request.

Evidence: Discards, four rows, fail before (no late byte within 20 s).

--- a/src/edge/http_connection.c
+++ b/src/edge/http_connection.c
@@ -108,6 +108,11 @@
 {
   if (report->unanswered_requests > 0 || report->unsent_bytes > 0)
     return true;
+  /* The first request may be on its way.  */
+  if (report->requests == 0
+      && (report->reason == HTTP_CLOSE_DRAINED
+          || report->reason == HTTP_CLOSE_FREED))
+    return true;
   return report->reason != HTTP_CLOSE_CALLER
          && (report->late_bytes > 0 || report->unread_bytes > 0
              || report->unparsed_bytes > 0 || report->partly_read);
@@ -243,7 +248,6 @@
     return;
   record_close_reason (connection, HTTP_CLOSE_COMPLETED);
   connection->lingering = true;
-  http_parser_init (&connection->parser, HTTP_REQUEST);
   connection->last_progress_us = connection->server->loop->now_us;
   shutdown (connection->reader.fd, SHUT_WR);
   free_exchanges (connection);
--- a/src/edge/http_reader.c
+++ b/src/edge/http_reader.c
@@ -172,6 +172,7 @@
   http_exchange_t *exchange = connection->incoming;
 
   connection->incoming = NULL;
+  connection->close_report.requests++;
   exchange->last_byte_us = server->loop->now_us;
   exchange->dispatched = true;
   append_exchange (connection, exchange);
@@ -197,6 +198,34 @@
   .on_message_complete = on_message_complete,
 };
 
+static int
+on_late_request (http_parser *parser)
+{
+  http_connection_t *connection = parser->data;
+  connection->close_report.late_requests++;
+  connection->server->stats.late_requests++;
+  return 0;
+}
+
+/* Counts bytes that are discarded, as they follow the last request, and the
+   complete requests in them.  */
+static void
+count_late_bytes (http_connection_t *connection, const char *data, size_t size)
+{
+  static const http_parser_settings settings
+      = { .on_message_complete = on_late_request };
+  http_close_report_t *report = &connection->close_report;
+  if (report->late_bytes == 0)
+    http_parser_init (&connection->parser, HTTP_REQUEST);
+  report->late_bytes += (uint32_t)size;
+  connection->server->stats.late_bytes += size;
+  if (connection->late_malformed)
+    return;
+  http_parser_execute (&connection->parser, &settings, data, size);
+  connection->late_malformed
+      = HTTP_PARSER_ERRNO (&connection->parser) != HPE_OK;
+}
+
 static void
 pause_reading (http_connection_t *connection, const char *rest, size_t size)
 {
@@ -218,8 +247,12 @@
   if (parse_errno == HPE_PAUSED)
     {
       http_parser_pause (&connection->parser, 0);
-      if (!connection->last_request_read)
-        pause_reading (connection, data + parsed_size, size - parsed_size);
+      data += parsed_size;
+      size -= parsed_size;
+      if (connection->last_request_read)
+        count_late_bytes (connection, data, size);
+      else
+        pause_reading (connection, data, size);
     }
   else if (parse_errno != HPE_OK && !connection->last_request_read)
     connection_refuse_request (connection, connection->parse_error_status > 0
@@ -264,33 +297,6 @@
   bytes_free (&rest);
 }
 
-static int
-on_late_request (http_parser *parser)
-{
-  http_connection_t *connection = parser->data;
-  connection->close_report.late_requests++;
-  connection->server->stats.late_requests++;
-  return 0;
-}
-
-/* Counts bytes that arrive after the close was decided, and the complete
-   requests in them.  */
-static void
-count_late_bytes (http_connection_t *connection, size_t size)
-{
-  static const http_parser_settings settings
-      = { .on_message_complete = on_late_request };
-  http_server_t *server = connection->server;
-  connection->close_report.late_bytes += (uint32_t)size;
-  server->stats.late_bytes += size;
-  if (connection->late_malformed)
-    return;
-  http_parser_execute (&connection->parser, &settings, server->read_buffer,
-                       size);
-  connection->late_malformed
-      = HTTP_PARSER_ERRNO (&connection->parser) != HPE_OK;
-}
-
 void
 connection_read (http_connection_t *connection)
 {
@@ -306,10 +312,11 @@
           size == 0 ? 0 : errno);
       return;
     }
-  if (connection->lingering)
-    count_late_bytes (connection, (size_t)size);
   if (connection->lingering || connection->last_request_read)
-    return;
+    {
+      count_late_bytes (connection, server->read_buffer, (size_t)size);
+      return;
+    }
   /* The caller may have closed after the request that was just read.  */
   if (connection_close_if_caller_closed (connection))
     return;
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -187,6 +187,7 @@
   http_close_reason_t reason;
   int64_t no_progress_us; /* without progress when the close was decided */
   int64_t idle_limit_us;  /* the idle limit that applied to it */
+  uint32_t requests;      /* complete, read on the connection */
   /* Complete requests without a complete response.  */
   uint32_t unanswered_requests;
   /* Complete responses that waited for that to an earlier request.  */
@@ -198,15 +199,16 @@
   uint32_t unsent_bytes;        /* of responses, not taken by the socket */
   uint32_t unacked_bytes;       /* taken by it, but not acknowledged */
   http_caller_end_t caller_end;
-  int caller_errno;       /* error of caller_end, or 0 */
-  uint32_t late_bytes;    /* read after the close was decided, and discarded */
+  int caller_errno; /* error of caller_end, or 0 */
+  /* Read after the last response was decided on, and discarded.  */
+  uint32_t late_bytes;
   uint32_t late_requests; /* complete requests among those bytes */
 } http_close_report_t;
 
 /* Called for each connection whose close leaves a request without a response
    or part of a response unsent, and for each that the server itself closes
-   with bytes discarded, unread or not parsed, or with a request read in
-   part.  */
+   with bytes discarded, unread or not parsed, with a request read in part, or,
+   in a drain or at the end, before its first request.  */
 typedef void (*http_close_callback_t) (void *ctx,
                                        const http_close_report_t *report);
 
--- a/src/edge/http_server_impl.h
+++ b/src/edge/http_server_impl.h
@@ -53,7 +53,7 @@
   bool last_request_read; /* no further request is read */
   bool close_after_flush; /* close when all output is sent */
   bool lingering; /* write side shut down, reads until the caller closes */
-  bool late_malformed; /* bytes read while lingering are not valid requests */
+  bool late_malformed; /* the discarded bytes are not valid requests */
   bool closed;
 } http_connection_t;
 
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -170,14 +170,14 @@
   sidecar_t *sidecar = ctx;
   event_log_write (
       &sidecar->log, EVENT_CONNECTION, "connection-cut",
-      "end=%s caller-end=%s caller-errno=%d unanswered=%u "
-      "responses-behind=%u oldest-ms=%lld unread-bytes=%u "
+      "end=%s caller-end=%s caller-errno=%d requests=%u "
+      "unanswered=%u responses-behind=%u oldest-ms=%lld unread-bytes=%u "
       "unparsed-bytes=%u partly-read=%d unsent-bytes=%u "
       "unacked-bytes=%u late-requests=%u late-bytes=%u "
       "quiet-ms=%lld idle-limit-ms=%lld config=%llu",
       http_close_reason_name (report->reason),
       http_caller_end_name (report->caller_end), report->caller_errno,
-      report->unanswered_requests, report->responses_behind,
+      report->requests, report->unanswered_requests, report->responses_behind,
       (long long)(report->oldest_unanswered_us / US_PER_MS),
       report->unread_bytes, report->unparsed_bytes, report->partly_read,
       report->unsent_bytes, report->unacked_bytes, report->late_requests,
--- a/tests/mesh_closes_test.cc
+++ b/tests/mesh_closes_test.cc
@@ -250,6 +250,14 @@
                             return std::string (row.param.name);
                           });
 
+TEST_F (Closes, NewConnectionThatIsFreedIsReported)
+{
+  server.reset ();
+  ASSERT_EQ (1u, reports.size ());
+  EXPECT_EQ (HTTP_CLOSE_FREED, reports[0].reason);
+  EXPECT_EQ (0u, reports[0].requests);
+}
+
 TEST_F (Closes, IdleConnectionIsFreedWithoutAReport)
 {
   send_until_read (READY, 1);
@@ -258,6 +266,53 @@
   EXPECT_TRUE (reports.empty ());
 }
 
+/* --- input that is discarded ------------------------------------------- */
+
+struct DiscardRow
+{
+  const char *name;
+  std::string with;  /* sent with the last request */
+  std::string after; /* sent before its response */
+  uint32_t requests;
+};
+
+class Discards : public Closes, public testing::WithParamInterface<DiscardRow>
+{
+};
+
+TEST_P (Discards, RequestsBehindTheLastOneAreCounted)
+{
+  const DiscardRow &row = GetParam ();
+  send_until_read ("GET /held HTTP/1.1\r\nHost: h\r\n"
+                   "Connection: close\r\n\r\n"
+                       + row.with,
+                   1);
+  size_t size = row.with.size () + row.after.size ();
+  caller->send (row.after);
+  EXPECT_TRUE (wait ([&] { return stats ().late_bytes == size; }));
+  http_respond (held[0], 200, nullptr, 0, "ok", 2);
+  ASSERT_TRUE (wait ([&] { return caller->is_over (); }));
+  caller->shut ();
+  ASSERT_TRUE (wait ([&] { return stats ().connections == 0; }));
+  ASSERT_EQ (1u, reports.size ());
+  EXPECT_EQ (HTTP_CLOSE_COMPLETED, reports[0].reason);
+  EXPECT_EQ (size, reports[0].late_bytes);
+  EXPECT_EQ (row.requests, reports[0].late_requests);
+  EXPECT_EQ (1u, reports[0].requests);
+}
+
+const DiscardRow discard_rows[] = {
+  { "InTheSameRead", READY, "", 1 },
+  { "BeforeTheResponse", "", READY + READY, 2 },
+  { "InParts", READY.substr (0, 9), READY.substr (9) + PART, 1 },
+  { "Malformed", "", "no request\r\n\r\n" + READY, 0 },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, Discards, testing::ValuesIn (discard_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+
 /* --- connections that wait for their first request ---------------------- */
 
 TEST_F (Closes, DrainLeavesTimeForTheFirstRequest)
