Answer all requests of one read while the server drains

Cause: a response is the last one of its connection if no request waits behind it. A request in the same read was not parsed yet, so a refusal, which is written while the first request is handled, announced the close, and the rest of the read was discarded.

The parser now stops behind each request, and the connection knows what is left of the read when the request is handled.

Evidence: DrainingServerAnswersAllRequestsOfOneRead and DrainingServerReadsARequestThatArrivedInPart fail before: one of three, and one of two requests handled.

--- a/src/edge/http_connection.c
+++ b/src/edge/http_connection.c
@@ -164,7 +164,8 @@
           = connection->server->loop->now_us - first->first_byte_us;
     }
   report->unread_bytes = (uint32_t)loop_unread_bytes (fd);
-  report->unparsed_bytes = (uint32_t)bytes_size (&connection->unparsed_input);
+  report->unparsed_bytes = (uint32_t)(bytes_size (&connection->unparsed_input)
+                                      + connection->rest_bytes);
   report->partly_read = connection->incoming != NULL;
   report->unsent_bytes = (uint32_t)bytes_size (&connection->output);
   report->unacked_bytes = (uint32_t)loop_unacked_bytes (fd);
--- a/src/edge/http_reader.c
+++ b/src/edge/http_reader.c
@@ -164,27 +164,12 @@
   return 0;
 }
 
+/* Pauses the parser, so that what follows the request is known when it is
+   handled.  */
 static int
 on_message_complete (http_parser *parser)
 {
-  http_connection_t *connection = parser->data;
-  http_server_t *server = connection->server;
-  http_exchange_t *exchange = connection->incoming;
-
-  connection->incoming = NULL;
-  connection->close_report.requests++;
-  exchange->last_byte_us = server->loop->now_us;
-  exchange->dispatched = true;
-  append_exchange (connection, exchange);
-  server->stats.open_exchanges++;
-  if (exchange->close_after)
-    connection->last_request_read = true;
-  server->handler.request (server->handler.ctx, exchange);
-  if (connection->closed)
-    return -1;
-  if (connection->last_request_read
-      || connection->waiting_count >= server->limits.pipelined_requests)
-    http_parser_pause (parser, 1);
+  http_parser_pause (parser, 1);
   return 0;
 }
 
@@ -215,6 +200,8 @@
   static const http_parser_settings settings
       = { .on_message_complete = on_late_request };
   http_close_report_t *report = &connection->close_report;
+  if (size == 0)
+    return;
   if (report->late_bytes == 0)
     http_parser_init (&connection->parser, HTTP_REQUEST);
   report->late_bytes += (uint32_t)size;
@@ -236,30 +223,68 @@
   ev_io_stop (connection->server->loop->ev, &connection->reader);
 }
 
+/* Passes the complete incoming request to the handler.  */
+static void
+handle_request (http_connection_t *connection)
+{
+  http_server_t *server = connection->server;
+  http_exchange_t *exchange = connection->incoming;
+
+  connection->incoming = NULL;
+  connection->close_report.requests++;
+  exchange->last_byte_us = server->loop->now_us;
+  exchange->dispatched = true;
+  append_exchange (connection, exchange);
+  server->stats.open_exchanges++;
+  if (exchange->close_after)
+    connection->last_request_read = true;
+  server->handler.request (server->handler.ctx, exchange);
+}
+
+static void
+refuse_unparsable (http_connection_t *connection, enum http_errno parse_errno)
+{
+  int status = connection->parse_error_status;
+  if (status == 0)
+    status = parse_errno == HPE_HEADER_OVERFLOW ? 431 : 400;
+  connection_refuse_request (connection, status);
+}
+
+/* Handles the complete requests in DATA.  What follows the last one that may
+   wait is kept, and what follows the last one of the connection is
+   discarded.  */
 static void
 parse (http_connection_t *connection, const char *data, size_t size)
 {
-  size_t parsed_size = http_parser_execute (&connection->parser,
-                                            &parser_settings, data, size);
-  if (connection->closed)
-    return;
-  enum http_errno parse_errno = HTTP_PARSER_ERRNO (&connection->parser);
-  if (parse_errno == HPE_PAUSED)
+  while (size > 0)
     {
+      size_t parsed_size = http_parser_execute (&connection->parser,
+                                                &parser_settings, data, size);
+      enum http_errno parse_errno = HTTP_PARSER_ERRNO (&connection->parser);
+      if (parse_errno != HPE_OK && parse_errno != HPE_PAUSED)
+        refuse_unparsable (connection, parse_errno);
+      if (parse_errno != HPE_PAUSED)
+        return;
       http_parser_pause (&connection->parser, 0);
       data += parsed_size;
       size -= parsed_size;
+      connection->rest_bytes = size;
+      handle_request (connection);
+      connection->rest_bytes = 0;
+      if (connection->closed)
+        return;
       if (connection->last_request_read)
-        count_late_bytes (connection, data, size);
-      else
-        pause_reading (connection, data, size);
+        {
+          count_late_bytes (connection, data, size);
+          return;
+        }
+      if (connection->waiting_count
+          >= connection->server->limits.pipelined_requests)
+        {
+          pause_reading (connection, data, size);
+          return;
+        }
     }
-  else if (parse_errno != HPE_OK && !connection->last_request_read)
-    connection_refuse_request (connection, connection->parse_error_status > 0
-                                               ? connection->parse_error_status
-                                           : parse_errno == HPE_HEADER_OVERFLOW
-                                               ? 431
-                                               : 400);
 }
 
 bool
--- a/tests/mesh_closes_test.cc
+++ b/tests/mesh_closes_test.cc
@@ -266,6 +266,30 @@
   EXPECT_TRUE (reports.empty ());
 }
 
+/* --- requests that arrive together during a drain ----------------------- */
+
+TEST_F (Closes, DrainingServerAnswersAllRequestsOfOneRead)
+{
+  http_server_drain (server->server);
+  caller->send (READY + READY + READY);
+  ASSERT_TRUE (wait ([&] { return caller->is_over (); }));
+  EXPECT_EQ (3u, server->targets.size ());
+  EXPECT_EQ (0u, stats ().late_requests);
+  EXPECT_EQ (caller->got.find ("Connection: close"),
+             caller->got.rfind ("Connection: close"));
+}
+
+TEST_F (Closes, DrainingServerReadsARequestThatArrivedInPart)
+{
+  http_server_drain (server->server);
+  caller->send (READY + READY.substr (0, 9));
+  ASSERT_TRUE (wait ([&] { return caller->has ("ok"); }));
+  caller->send (READY.substr (9));
+  ASSERT_TRUE (wait ([&] { return caller->is_over (); }));
+  EXPECT_EQ (2u, server->targets.size ());
+  EXPECT_EQ (0u, stats ().late_requests);
+}
+
 /* --- input that is discarded ------------------------------------------- */
 
 struct DiscardRow
