--- a/src/edge/http_answer.c
+++ b/src/edge/http_answer.c
@@ -23,7 +23,7 @@
   if (exchange->close_after || !connection->server->draining)
     return exchange->close_after;
   return connection->first_exchange == exchange && exchange->next == NULL
-         && connection->incoming == NULL
+         && connection->incoming == NULL && connection->rest_bytes == 0
          && bytes_size (&connection->unparsed_input) == 0
          && loop_unread_bytes (connection->reader.fd) == 0;
 }
--- a/src/edge/http_reader.c
+++ b/src/edge/http_reader.c
@@ -164,26 +164,12 @@
   return 0;
 }
 
+/* Pauses the parser, so that what follows the request is known when it is
+   handled.  */
 static int
 on_message_complete (http_parser *parser)
 {
-  http_connection_t *connection = parser->data;
-  http_server_t *server = connection->server;
-  http_exchange_t *exchange = connection->incoming;
-
-  connection->incoming = NULL;
-  exchange->last_byte_us = server->loop->now_us;
-  exchange->dispatched = true;
-  append_exchange (connection, exchange);
-  server->stats.open_exchanges++;
-  if (exchange->close_after)
-    connection->last_request_read = true;
-  server->handler.request (server->handler.ctx, exchange);
-  if (connection->closed)
-    return -1;
-  if (connection->last_request_read
-      || connection->waiting_count >= server->limits.pipelined_requests)
-    http_parser_pause (parser, 1);
+  http_parser_pause (parser, 1);
   return 0;
 }
 
@@ -197,6 +183,36 @@
   .on_message_complete = on_message_complete,
 };
 
+static int
+on_late_request (http_parser *parser)
+{
+  http_connection_t *connection = parser->data;
+  connection->close_report.late_requests++;
+  connection->server->stats.late_requests++;
+  return 0;
+}
+
+/* Counts bytes that are discarded, as they follow the last request, and the
+   complete requests in them.  */
+static void
+count_late_bytes (http_connection_t *connection, const char *data, size_t size)
+{
+  static const http_parser_settings settings
+      = { .on_message_complete = on_late_request };
+  http_close_report_t *report = &connection->close_report;
+  if (size == 0)
+    return;
+  if (report->late_bytes == 0)
+    http_parser_init (&connection->parser, HTTP_REQUEST);
+  report->late_bytes += (uint32_t)size;
+  connection->server->stats.late_bytes += size;
+  if (connection->late_malformed)
+    return;
+  http_parser_execute (&connection->parser, &settings, data, size);
+  connection->late_malformed
+      = HTTP_PARSER_ERRNO (&connection->parser) != HPE_OK;
+}
+
 static void
 pause_reading (http_connection_t *connection, const char *rest, size_t size)
 {
@@ -207,26 +223,68 @@
   ev_io_stop (connection->server->loop->ev, &connection->reader);
 }
 
+/* Passes the complete incoming request to the handler.  */
+static void
+handle_request (http_connection_t *connection)
+{
+  http_server_t *server = connection->server;
+  http_exchange_t *exchange = connection->incoming;
+
+  connection->incoming = NULL;
+  connection->close_report.requests++;
+  exchange->last_byte_us = server->loop->now_us;
+  exchange->dispatched = true;
+  append_exchange (connection, exchange);
+  server->stats.open_exchanges++;
+  if (exchange->close_after)
+    connection->last_request_read = true;
+  server->handler.request (server->handler.ctx, exchange);
+}
+
+static void
+refuse_unparsable (http_connection_t *connection, enum http_errno parse_errno)
+{
+  int status = connection->parse_error_status;
+  if (status == 0)
+    status = parse_errno == HPE_HEADER_OVERFLOW ? 431 : 400;
+  connection_refuse_request (connection, status);
+}
+
+/* Handles the complete requests in DATA.  What follows the last one that may
+   wait is kept, and what follows the last one of the connection is
+   discarded.  */
 static void
 parse (http_connection_t *connection, const char *data, size_t size)
 {
-  size_t parsed_size = http_parser_execute (&connection->parser,
-                                            &parser_settings, data, size);
-  if (connection->closed)
-    return;
-  enum http_errno parse_errno = HTTP_PARSER_ERRNO (&connection->parser);
-  if (parse_errno == HPE_PAUSED)
+  while (size > 0)
     {
+      size_t parsed_size = http_parser_execute (&connection->parser,
+                                                &parser_settings, data, size);
+      enum http_errno parse_errno = HTTP_PARSER_ERRNO (&connection->parser);
+      if (parse_errno != HPE_OK && parse_errno != HPE_PAUSED)
+        refuse_unparsable (connection, parse_errno);
+      if (parse_errno != HPE_PAUSED)
+        return;
       http_parser_pause (&connection->parser, 0);
-      if (!connection->last_request_read)
-        pause_reading (connection, data + parsed_size, size - parsed_size);
+      data += parsed_size;
+      size -= parsed_size;
+      connection->rest_bytes = size;
+      handle_request (connection);
+      connection->rest_bytes = 0;
+      if (connection->closed)
+        return;
+      if (connection->last_request_read)
+        {
+          count_late_bytes (connection, data, size);
+          return;
+        }
+      if (connection->waiting_count
+          >= connection->server->limits.pipelined_requests)
+        {
+          pause_reading (connection, data, size);
+          return;
+        }
     }
-  else if (parse_errno != HPE_OK && !connection->last_request_read)
-    connection_refuse_request (connection, connection->parse_error_status > 0
-                                               ? connection->parse_error_status
-                                           : parse_errno == HPE_HEADER_OVERFLOW
-                                               ? 431
-                                               : 400);
 }
 
 bool
@@ -264,33 +322,6 @@
   bytes_free (&rest);
 }
 
-static int
-on_late_request (http_parser *parser)
-{
-  http_connection_t *connection = parser->data;
-  connection->close_report.late_requests++;
-  connection->server->stats.late_requests++;
-  return 0;
-}
-
-/* Counts bytes that arrive after the close was decided, and the complete
-   requests in them.  */
-static void
-count_late_bytes (http_connection_t *connection, size_t size)
-{
-  static const http_parser_settings settings
-      = { .on_message_complete = on_late_request };
-  http_server_t *server = connection->server;
-  connection->close_report.late_bytes += (uint32_t)size;
-  server->stats.late_bytes += size;
-  if (connection->late_malformed)
-    return;
-  http_parser_execute (&connection->parser, &settings, server->read_buffer,
-                       size);
-  connection->late_malformed
-      = HTTP_PARSER_ERRNO (&connection->parser) != HPE_OK;
-}
-
 void
 connection_read (http_connection_t *connection)
 {
@@ -306,10 +337,11 @@
           size == 0 ? 0 : errno);
       return;
     }
-  if (connection->lingering)
-    count_late_bytes (connection, (size_t)size);
   if (connection->lingering || connection->last_request_read)
-    return;
+    {
+      count_late_bytes (connection, server->read_buffer, (size_t)size);
+      return;
+    }
   /* The caller may have closed after the request that was just read.  */
   if (connection_close_if_caller_closed (connection))
     return;
--- a/src/edge/http_server_impl.h
+++ b/src/edge/http_server_impl.h
@@ -26,6 +26,7 @@
   ev_io writer;
   http_parser parser;
   bytes_t unparsed_input; /* read but not parsed, as too many requests wait */
+  size_t rest_bytes; /* read with the request that is handled, behind it */
   bytes_t output;
   http_exchange_t *incoming; /* its head or body is not complete yet */
   /* Complete requests that wait for responses, in order.  */
@@ -53,7 +54,7 @@
   bool last_request_read; /* no further request is read */
   bool close_after_flush; /* close when all output is sent */
   bool lingering; /* write side shut down, reads until the caller closes */
-  bool late_malformed; /* bytes read while lingering are not valid requests */
+  bool late_malformed; /* the discarded bytes are not valid requests */
   bool closed;
 } http_connection_t;
 
