Give a drain that begins late its time to close connections

A sidecar that was held up in the first 2.6 s of its stop began to drain, closed idle connections and exited in one turn of its event loop. A request that the drain itself read there was cut without an answer: the open requests had been counted before the drain. One in a connection that was not accepted yet was reset. The log shows the first as connection-cut end=freed unanswered=1 behind event=stopped open=0.

The open requests are counted after the drain, and the time in which callers may notice the close, 300 ms, is counted from the moment at which the drain began, no longer from that at which it should have. A stop in time takes as long as before, up to one tick of 50 ms; the drain deadline is unchanged.

Test: LateDrain, with a real process that is held up by SIGSTOP and has more ready sockets than one turn reads; both rows failed before, the kept connection with the lines above.

--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -275,15 +275,15 @@
 static void
 advance_phase (sidecar_t *sidecar)
 {
-  int64_t elapsed_us = sidecar->loop.now_us - sidecar->stop_begin_us;
-  uint32_t open_count = entry_stats (sidecar->entry).open_requests
-                        + runner_open_run_count (sidecar->runner);
+  int64_t now_us = sidecar->loop.now_us;
+  int64_t elapsed_us = now_us - sidecar->stop_begin_us;
   if (sidecar->phase == PHASE_NOT_READY && elapsed_us >= NOT_READY_NOTICE_US)
     {
       sidecar->phase = PHASE_DRAINING;
+      sidecar->drain_begin_us = now_us;
       http_server_drain (sidecar->caller_server);
     }
-  int64_t remaining_us = sidecar->drain_deadline_us - sidecar->loop.now_us;
+  int64_t remaining_us = sidecar->drain_deadline_us - now_us;
   if (sidecar->phase != PHASE_FLUSHING && remaining_us <= 0)
     {
       sidecar->phase = PHASE_FLUSHING;
@@ -291,9 +291,12 @@
       entry_end_open_requests (sidecar->entry);
       http_server_drain (sidecar->caller_server);
     }
+  /* A drain reads what has arrived, and so may open requests.  */
+  uint32_t open_count = entry_stats (sidecar->entry).open_requests
+                        + runner_open_run_count (sidecar->runner);
   bool drained
       = sidecar->phase == PHASE_DRAINING && open_count == 0
-        && elapsed_us >= NOT_READY_NOTICE_US + CONNECTION_CLOSE_GRACE_US;
+        && now_us - sidecar->drain_begin_us >= CONNECTION_CLOSE_GRACE_US;
   /* While flushing, runs for other sidecars may still complete.  */
   bool finished = drained
                   || (sidecar->phase == PHASE_FLUSHING
--- a/src/edge/sidecar_impl.h
+++ b/src/edge/sidecar_impl.h
@@ -83,6 +83,7 @@
   sidecar_phase_t phase;
   int64_t stop_begin_us;
   /* When open requests are ended; set when the stop begins.  */
+  int64_t drain_begin_us;
   int64_t drain_deadline_us;
   int64_t load_logged_us;
   mesh_identity identity; /* storage for the identity in a full report */
