Answer all pipelined requests that a draining sidecar has read together

A caller that pipelines during a stop got the answer to the first request and lost those behind it, if the first was refused at once: they had been read whole and were thrown away. While a server drains, a response is the last one of its connection if it belongs to the only request; but requests are passed on in the middle of parsing, and what is left of the buffer counted neither as a request nor as unparsed input.

The parser now stops behind each request, and the request is passed on with the knowledge whether input is left. If so, its response does not end the connection.

--- a/src/edge/http_answer.c
+++ b/src/edge/http_answer.c
@@ -46,6 +46,7 @@
   const http_connection_t *connection = exchange->connection;
   bool is_only_exchange = exchange->next == NULL
                           && connection->incoming == NULL
+                          && !connection->has_more_input
                           && bytes_size (&connection->unparsed_input) == 0;
   return exchange->close_after
          || (connection->server->draining && is_only_exchange
--- a/src/edge/http_reader.c
+++ b/src/edge/http_reader.c
@@ -163,26 +163,11 @@
   return 0;
 }
 
+/* Leaves the parser at the end of the request.  */
 static int
 on_message_complete (http_parser *parser)
 {
-  http_connection_t *connection = parser->data;
-  http_server_t *server = connection->server;
-  http_exchange_t *exchange = connection->incoming;
-
-  connection->incoming = NULL;
-  exchange->last_byte_us = server->loop->now_us;
-  exchange->dispatched = true;
-  append_exchange (connection, exchange);
-  server->stats.open_exchanges++;
-  if (exchange->close_after)
-    connection->last_request_read = true;
-  server->handler.request (server->handler.ctx, exchange);
-  if (connection->closed)
-    return -1;
-  if (connection->last_request_read
-      || connection->waiting_count >= server->limits.pipelined_requests)
-    http_parser_pause (parser, 1);
+  http_parser_pause (parser, 1);
   return 0;
 }
 
@@ -206,26 +191,65 @@
   ev_io_stop (connection->server->loop->ev, &connection->reader);
 }
 
+static bool
+has_too_many_waiting (const http_connection_t *connection)
+{
+  return !connection->closed && !connection->last_request_read
+         && connection->waiting_count
+                >= connection->server->limits.pipelined_requests;
+}
+
+/* Passes on the request that has been read.  The handler may respond to it at
+   once, and may close the connection.  */
+static void
+dispatch_request (http_connection_t *connection, bool has_more_input)
+{
+  http_server_t *server = connection->server;
+  http_exchange_t *exchange = connection->incoming;
+
+  connection->incoming = NULL;
+  connection->has_more_input = has_more_input;
+  exchange->last_byte_us = server->loop->now_us;
+  exchange->dispatched = true;
+  append_exchange (connection, exchange);
+  server->stats.open_exchanges++;
+  if (exchange->close_after)
+    connection->last_request_read = true;
+  server->handler.request (server->handler.ctx, exchange);
+  connection->has_more_input = false;
+}
+
+static void
+refuse_malformed (http_connection_t *connection, enum http_errno parse_errno)
+{
+  int status = connection->parse_error_status;
+  if (status == 0)
+    status = parse_errno == HPE_HEADER_OVERFLOW ? 431 : 400;
+  connection_refuse_request (connection, status);
+}
+
 static void
 parse (http_connection_t *connection, const char *data, size_t size)
 {
-  size_t parsed_size = http_parser_execute (&connection->parser,
-                                            &parser_settings, data, size);
-  if (connection->closed)
-    return;
-  enum http_errno parse_errno = HTTP_PARSER_ERRNO (&connection->parser);
-  if (parse_errno == HPE_PAUSED)
+  http_parser *parser = &connection->parser;
+  while (size > 0 && !connection->closed && !connection->last_request_read
+         && !connection->reading_paused)
     {
-      http_parser_pause (&connection->parser, 0);
-      if (!connection->last_request_read)
-        pause_reading (connection, data + parsed_size, size - parsed_size);
+      size_t parsed_size
+          = http_parser_execute (parser, &parser_settings, data, size);
+      enum http_errno parse_errno = HTTP_PARSER_ERRNO (parser);
+      data += parsed_size;
+      size -= parsed_size;
+      if (parse_errno == HPE_PAUSED)
+        {
+          http_parser_pause (parser, 0);
+          dispatch_request (connection, size > 0);
+          if (has_too_many_waiting (connection))
+            pause_reading (connection, data, size);
+        }
+      else if (parse_errno != HPE_OK)
+        refuse_malformed (connection, parse_errno);
     }
-  else if (parse_errno != HPE_OK && !connection->last_request_read)
-    connection_refuse_request (connection, connection->parse_error_status > 0
-                                               ? connection->parse_error_status
-                                           : parse_errno == HPE_HEADER_OVERFLOW
-                                               ? 431
-                                               : 400);
 }
 
 bool
--- a/src/edge/http_server_impl.h
+++ b/src/edge/http_server_impl.h
@@ -26,6 +26,7 @@
   ev_io writer;
   http_parser parser;
   bytes_t unparsed_input; /* read but not parsed, as too many requests wait */
+  bool has_more_input;    /* what was read goes on behind the new request */
   bytes_t output;
   http_exchange_t *incoming; /* its head or body is not complete yet */
   /* Complete requests that wait for responses, in order.  */
--- a/tests/mesh_unanswered_test.cc
+++ b/tests/mesh_unanswered_test.cc
@@ -161,6 +161,60 @@
   EXPECT_TRUE (caller.has ("second"));
 }
 
+struct DrainedPipelineRow
+{
+  const char *name;
+  uint32_t first; /* requests that are open as the drain begins */
+  uint32_t all;
+};
+
+class DrainedPipeline : public Loop,
+                        public testing::WithParamInterface<DrainedPipelineRow>
+{
+};
+
+/* A request that is answered as soon as it is read is the last one only if
+   nothing is left of what was read with it.  */
+TEST_P (DrainedPipeline, RequestsReadTogetherAreAllAnswered)
+{
+  const DrainedPipelineRow &row = GetParam ();
+  Server server (&loop, limits ());
+  Caller caller (server.port ());
+  std::string text;
+  for (uint32_t i = 0; i < row.all; i++)
+    text += get_request ("/" + std::to_string (i));
+  if (row.first > 0)
+    {
+      caller.send (text);
+      ASSERT_TRUE (wait ([&] { return server.open.size () == row.first; }));
+    }
+  http_server_drain (server.server);
+  server.answer = [] (http_exchange_t *exchange) {
+    const char *target = bytes_data (&exchange->target);
+    http_respond (exchange, 200, nullptr, 0, target, strlen (target));
+  };
+  if (row.first == 0)
+    caller.send (text);
+  for (http_exchange_t *exchange : server.open)
+    server.answer (exchange);
+  ASSERT_TRUE (wait ([&] { return caller.is_over (); }));
+  EXPECT_EQ (row.all, server.targets.size ());
+  EXPECT_TRUE (caller.has ("/" + std::to_string (row.all - 1)));
+  EXPECT_TRUE (caller.has ("Connection: close"));
+}
+
+const DrainedPipelineRow drained_pipeline_rows[] = {
+  { "ReadInTheDrain", 0, 3 },
+  { "ReadBeforeTheDrain", limits ().pipelined_requests,
+    limits ().pipelined_requests + 3 },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, DrainedPipeline,
+                          testing::ValuesIn (drained_pipeline_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+
 /* A drain reads the requests that have arrived.  Handling one may close
    another connection while the drain goes through the list.  */
 TEST_F (Loop, DrainContinuesWhenARequestItReadsClosesAnotherConnection)
