Let each phase of a stop last a turn of the event loop

A sidecar that was held up until the time of its stop was over ended its open requests, and exited in the same turn. Requests behind them that had been read but not parsed, as 32 were waiting, got nothing: reading goes on in a deferred task, which no longer ran.

advance_phase now takes one step a turn, and is split by phase.

--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -270,47 +270,72 @@
   http_server_stop_reading (sidecar->metrics_server);
 }
 
+static uint32_t
+open_request_count (const sidecar_t *sidecar)
+{
+  return entry_stats (sidecar->entry).open_requests
+         + runner_open_run_count (sidecar->runner);
+}
+
+static void
+begin_drain (sidecar_t *sidecar)
+{
+  sidecar->phase = PHASE_DRAINING;
+  sidecar->drain_begin_us = sidecar->loop.now_us;
+  http_server_drain (sidecar->caller_server);
+}
+
+static void
+begin_flush (sidecar_t *sidecar)
+{
+  sidecar->phase = PHASE_FLUSHING;
+  runner_stop (sidecar->runner);
+  entry_end_open_requests (sidecar->entry);
+  http_server_drain (sidecar->caller_server);
+}
+
+/* Returns whether all requests have ended.  While flushing, those of callers
+   have, but runs for other sidecars may still complete.  */
+static bool
+is_drained (const sidecar_t *sidecar)
+{
+  if (sidecar->phase == PHASE_FLUSHING)
+    return runner_open_run_count (sidecar->runner) == 0;
+  return sidecar->phase == PHASE_DRAINING && open_request_count (sidecar) == 0
+         && sidecar->loop.now_us - sidecar->drain_begin_us
+                >= CONNECTION_CLOSE_GRACE_US;
+}
+
+static void
+end_stop (sidecar_t *sidecar)
+{
+  int64_t elapsed_us = sidecar->loop.now_us - sidecar->stop_begin_us;
+  event_log_write (&sidecar->log, EVENT_LIFECYCLE, "stopped",
+                   "after-ms=%lld open=%u connections=%u",
+                   (long long)(elapsed_us / US_PER_MS),
+                   open_request_count (sidecar),
+                   http_server_stats (sidecar->caller_server).connections);
+  stop_reading (sidecar);
+  ev_break (sidecar->loop.ev, EVBREAK_ALL);
+}
+
 /* Advances the phase of a graceful stop, and leaves the event loop at the end
-   of the stop.  */
+   of the stop.  A phase lasts a turn of the loop at least, however late the
+   loop runs: what it ends makes connections read on, and so opens and answers
+   further requests.  */
 static void
 advance_phase (sidecar_t *sidecar)
 {
-  int64_t now_us = sidecar->loop.now_us;
-  int64_t elapsed_us = now_us - sidecar->stop_begin_us;
-  if (sidecar->phase == PHASE_NOT_READY && elapsed_us >= NOT_READY_NOTICE_US)
-    {
-      sidecar->phase = PHASE_DRAINING;
-      sidecar->drain_begin_us = now_us;
-      http_server_drain (sidecar->caller_server);
-    }
-  int64_t remaining_us = sidecar->drain_deadline_us - now_us;
+  int64_t elapsed_us = sidecar->loop.now_us - sidecar->stop_begin_us;
+  int64_t remaining_us = sidecar->drain_deadline_us - sidecar->loop.now_us;
   if (sidecar->phase != PHASE_FLUSHING && remaining_us <= 0)
-    {
-      sidecar->phase = PHASE_FLUSHING;
-      runner_stop (sidecar->runner);
-      entry_end_open_requests (sidecar->entry);
-      http_server_drain (sidecar->caller_server);
-    }
-  /* A drain reads what has arrived, and so may open requests.  */
-  uint32_t open_count = entry_stats (sidecar->entry).open_requests
-                        + runner_open_run_count (sidecar->runner);
-  bool drained
-      = sidecar->phase == PHASE_DRAINING && open_count == 0
-        && now_us - sidecar->drain_begin_us >= CONNECTION_CLOSE_GRACE_US;
-  /* While flushing, runs for other sidecars may still complete.  */
-  bool finished = drained
-                  || (sidecar->phase == PHASE_FLUSHING
-                      && runner_open_run_count (sidecar->runner) == 0);
-  if ((finished && !has_unfinished_io (sidecar))
-      || remaining_us <= -FLUSH_TIMEOUT_US)
-    {
-      event_log_write (&sidecar->log, EVENT_LIFECYCLE, "stopped",
-                       "after-ms=%lld open=%u connections=%u",
-                       (long long)(elapsed_us / US_PER_MS), open_count,
-                       http_server_stats (sidecar->caller_server).connections);
-      stop_reading (sidecar);
-      ev_break (sidecar->loop.ev, EVBREAK_ALL);
-    }
+    begin_flush (sidecar);
+  else if (sidecar->phase == PHASE_NOT_READY
+           && elapsed_us >= NOT_READY_NOTICE_US)
+    begin_drain (sidecar);
+  else if ((is_drained (sidecar) && !has_unfinished_io (sidecar))
+           || remaining_us <= -FLUSH_TIMEOUT_US)
+    end_stop (sidecar);
 }
 
 /* Logs a long gap between two loop iterations, in which no socket was read.
--- a/tests/live_end_of_stop_test.cc
+++ b/tests/live_end_of_stop_test.cc
@@ -13,9 +13,15 @@
 
 namespace
 {
+const std::string check = "GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n";
+const std::string read_request
+    = "GET /read/1 HTTP/1.1\r\nHost: h\r\nX-Timeout-Ms: 2000\r\n"
+      "X-Attempt-Id: id-1\r\n\r\n";
+const size_t PIPELINED = 40; /* reading pauses before them all */
 /* Sockets that the event loop reads in its first turn after a pause.  */
 const size_t SOCKETS_PER_TURN = 64;
 const int64_t DRAIN_AND_GRACE_US = 2700 * US_PER_MS;
+const int64_t WHOLE_STOP_US = 1800 * US_PER_MS; /* with stop_s 2 */
 
 class EndOfStop : public Loop
 {
@@ -34,9 +40,14 @@
     fake_store_put (store, platform_dialect ()->operator_topic, "config",
                     POLICY);
     ASSERT_EQ (0, pipe2 (out, O_CLOEXEC | O_NONBLOCK));
+  }
+  /* MORE is added to the settings.  */
+  void
+  start (const std::string &more)
+  {
     char path[256];
-    ASSERT_TRUE (proc_write_file ("sidecar.json", settings ().c_str (), path,
-                                  sizeof path));
+    ASSERT_TRUE (proc_write_file ("sidecar.json", settings (more).c_str (),
+                                  path, sizeof path));
     const char *args[] = { "sidecar", "--settings", path, nullptr };
     ASSERT_TRUE (proc_start_logged (&sidecar, "redwingford", args, out[1]));
     ASSERT_TRUE (wait ([&] { return prints ("event=config-taken"); }));
@@ -51,7 +62,7 @@
     Loop::TearDown ();
   }
   std::string
-  settings ()
+  settings (const std::string &more)
   {
     auto at = [] (uint16_t port) {
       return "\"127.0.0.1:" + std::to_string (port) + "\"";
@@ -60,7 +71,7 @@
            + at (callers.port) + R"(,"ready":)" + at (ready.port)
            + R"(,"announce":"127.0.0.1:0","peer":"127.0.0.1:0",)"
              R"("metrics":"127.0.0.1:0","backend":"127.0.0.1:1","store":)"
-           + at (fake_store_port (store)) + "}";
+           + at (fake_store_port (store)) + more + "}";
   }
   bool
   prints (const std::string &text)
@@ -96,7 +107,7 @@
    waits.  */
 TEST_P (LateDrain, RequestThatHasArrivedIsAnswered)
 {
-  const std::string check = "GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n";
+  start ("");
   std::vector<std::unique_ptr<Caller>> checkers;
   for (size_t i = 0; i < SOCKETS_PER_TURN; i++)
     checkers.push_back (open_connection (ready.port, check));
@@ -111,8 +122,7 @@
     checker->send (check);
   if (caller == nullptr)
     caller = std::make_unique<Caller> (callers.port);
-  caller->send ("GET /read/1 HTTP/1.1\r\nHost: h\r\nX-Timeout-Ms: 2000\r\n"
-                "X-Attempt-Id: id-1\r\n\r\n");
+  caller->send (read_request);
   run_for (DRAIN_AND_GRACE_US);
   proc_signal (&sidecar, SIGCONT);
   EXPECT_TRUE (wait ([&] {
@@ -128,4 +138,30 @@
                             return row.param ? "KeptConnection"
                                              : "NewConnection";
                           });
+
+/* The process is held up until its time is over.  Requests that wait for a
+   server end then; those behind them have been read, but not parsed.  */
+TEST_F (EndOfStop, PipelinedRequestsAreRefusedByALateFlush)
+{
+  start (R"(,"stop_s":2)");
+  auto checker = open_connection (ready.port, check);
+  Caller caller (callers.port);
+  for (size_t i = 0; i < PIPELINED; i++)
+    caller.send (read_request);
+  checker->send (check);
+  ASSERT_TRUE (wait ([&] { return checker->has ("\r\n\r\n"); }));
+  proc_signal (&sidecar, SIGTERM);
+  ASSERT_TRUE (wait ([&] { return prints ("event=stopping open=32"); }));
+  proc_signal (&sidecar, SIGSTOP);
+  run_for (WHOLE_STOP_US);
+  proc_signal (&sidecar, SIGCONT);
+  EXPECT_TRUE (wait ([&] { return prints ("event=stopped"); }));
+  EXPECT_EQ (0, proc_wait (&sidecar, PROC_WAIT_MS));
+  size_t refused = 0;
+  caller.has ("");
+  for (size_t at = 0;
+       (at = caller.got.find ("HTTP/1.1 503 ", at)) != std::string::npos; at++)
+    refused++;
+  EXPECT_EQ (PIPELINED, refused) << printed;
+}
 }
