tests: read requests in pieces while the configuration changes

RandomPieces sends pipelined requests in random pieces to two sidecars, while the configuration, its limits and the server change at random.

UnconfiguredPeer sends a request to a sidecar that has no configuration yet.

--- a/tests/mesh_policy_read_test.cc
+++ b/tests/mesh_policy_read_test.cc
@@ -5,6 +5,8 @@
 
 #include "support_config_feed.h"
 
+#include <random>
+
 namespace
 {
 const size_t BODY_BYTES = 200;
@@ -547,4 +549,245 @@
                           [] (const auto &row) {
                             return std::string (row.param.name);
                           });
+
+/* --- the other sidecar is configured later ------------------------------ */
+
+/* B stands beside its server and has no configuration yet.  */
+class UnconfiguredPeer : public ReadUnderChange
+{
+protected:
+  void
+  SetUp () override
+  {
+    ReadUnderChange::SetUp ();
+    http_server_free (announcement_server);
+    backend_watch_free (watch);
+    open_watch ();
+    intake_server_t none = {};
+    runner_set_server (b->runner, &none, "");
+    update_accepting ();
+    ASSERT_EQ (0, b->identity.accepting);
+  }
+  /* A still takes B's server for one that accepts requests.  */
+  void
+  send_one ()
+  {
+    connect (*a);
+    caller->send (request_text ("/book/1", "id-1"));
+    sent_count = 1;
+  }
+  void
+  wait_for_response ()
+  {
+    ASSERT_TRUE (wait ([&] {
+      tick ();
+      take_responses ();
+      return response_count == 1 || caller->ended;
+    }));
+  }
+};
+
+TEST_F (UnconfiguredPeer, RequestIsRefusedWhereNoSidecarIsConfigured)
+{
+  configure (make_spec ([] (ConfigSpec *spec) {
+    spec->service = false;
+    spec->route_service = "t";
+  }));
+  send_one ();
+  ASSERT_NO_FATAL_FAILURE (wait_for_response ());
+  EXPECT_EQ (503, last_status);
+  EXPECT_EQ (0u, runs ("/book/1"));
+}
+
+TEST_F (UnconfiguredPeer, RequestRunsOnceThePeerIsConfigured)
+{
+  send_one ();
+  ASSERT_TRUE (wait (
+      [&] { return runner_stats (b->runner).failures[CAUSE_NO_SERVER] > 0; }));
+  configure ({});
+  announce_slots (10);
+  respond_from_now_on ();
+  ASSERT_NO_FATAL_FAILURE (wait_for_response ());
+  EXPECT_EQ (200, last_status);
+  EXPECT_EQ (1u, runs ("/book/1"));
+}
+
+/* --- many requests that arrive in pieces -------------------------------- */
+
+struct PieceConnection
+{
+  std::unique_ptr<Caller> caller;
+  std::string unsent;
+  std::vector<std::string> waiting; /* ids, in order */
+};
+
+/* Requests arrive in pieces and pipelined while the configuration changes, in
+   a random order determined by the seed.  */
+class RandomPieces : public ReadUnderChange,
+                     public testing::WithParamInterface<int>
+{
+protected:
+  static const int REQUEST_COUNT = 400;
+  static const size_t CONNECTIONS = 8;
+  std::mt19937 random;
+  std::vector<PieceConnection> connections;
+  int sent = 0;
+  int ended = 0;
+  bool server_down = false;
+
+  void
+  SetUp () override
+  {
+    ReadUnderChange::SetUp ();
+    random.seed (GetParam ());
+    limits_notice_us = 0;
+    connections.resize (CONNECTIONS);
+  }
+  void
+  TearDown () override
+  {
+    connections.clear ();
+    ReadUnderChange::TearDown ();
+  }
+  bool
+  chance (int percent)
+  {
+    return (int)(random () % 100) < percent;
+  }
+  void
+  change_config ()
+  {
+    configure (make_spec ([&] (ConfigSpec *spec) {
+      spec->routes = chance (85);
+      spec->service = chance (85);
+      spec->accounts = chance (85);
+      spec->account = chance (85);
+      spec->route_service = spec->service && chance (85) ? "s" : "t";
+      spec->split = chance (15);
+      spec->is_public = chance (15);
+      spec->kinds_swapped = chance (30);
+      spec->attempts = chance (50) ? 3 : 1;
+      spec->timeout_s = chance (20) ? 20 : 100;
+      spec->limit = chance (20) ? R"(,"ratePerS":1000,"burst":1000)" : "";
+      spec->body_bytes = chance (10) ? 100 : 1000;
+      spec->header_bytes = chance (5) ? 20 : 4096;
+      spec->more_routes = chance (5) ? 500 : 0;
+    }));
+  }
+  void
+  toggle_server ()
+  {
+    server_down = !server_down;
+    if (server_down)
+      backend_watch_mark_unreachable (watch, nullptr);
+    else
+      announce_slots (1 + random () % 5);
+  }
+  void
+  add_request (PieceConnection *connection)
+  {
+    std::string id = "id-" + std::to_string (++sent);
+    connection->waiting.push_back (id);
+    connection->unsent += request_text (
+        (chance (50) ? "/book/" : "/read/") + id, id, random () % 400);
+  }
+  void
+  send_piece (PieceConnection *connection)
+  {
+    if (connection->caller == nullptr)
+      connection->caller = std::make_unique<Caller> (
+          http_server_port (chance (50) ? a->callers : b->callers));
+    while (sent < REQUEST_COUNT && connection->waiting.size () < 8
+           && chance (60))
+      add_request (connection);
+    size_t size
+        = std::min<size_t> (connection->unsent.size (), 1 + random () % 600);
+    ::send (connection->caller->fd, connection->unsent.data (), size,
+            MSG_NOSIGNAL);
+    connection->unsent.erase (0, size);
+  }
+  void
+  check_response (const std::string &id, const std::string &response)
+  {
+    int status = status_of (response);
+    size_t ran = runs ("/book/" + id) + runs ("/read/" + id);
+    static const int expected[] = { 200, 401, 404, 413, 429, 431, 503 };
+    EXPECT_EQ (1,
+               std::count (std::begin (expected), std::end (expected), status))
+        << response;
+    EXPECT_EQ (status == 200 ? 1u : 0u, ran) << id << ": " << status;
+    std::string field = "X-Attempt-Id: " + id + "\r\n";
+    EXPECT_TRUE (status != 200 || response.find (field) != std::string::npos)
+        << response;
+  }
+  /* Takes the first complete response off GOT.  */
+  std::string
+  take_response (std::string *got)
+  {
+    size_t head_end = got->find ("\r\n\r\n");
+    if (head_end == std::string::npos)
+      return "";
+    size_t length = got->find ("Content-Length: ");
+    size_t size
+        = head_end + 4 + strtoul (got->c_str () + length + 16, nullptr, 10);
+    if (got->size () < size)
+      return "";
+    std::string response = got->substr (0, size);
+    got->erase (0, size);
+    return response;
+  }
+  void
+  collect (PieceConnection *connection)
+  {
+    if (connection->caller == nullptr)
+      return;
+    Caller *from = connection->caller.get ();
+    from->has ("");
+    std::string response;
+    while (!(response = take_response (&from->got)).empty ())
+      {
+        ASSERT_FALSE (connection->waiting.empty ()) << response;
+        check_response (connection->waiting.front (), response);
+        connection->waiting.erase (connection->waiting.begin ());
+        ended++;
+        if (response.find ("Connection: close") == std::string::npos)
+          continue;
+        /* What is sent behind this response is not read.  */
+        for (const std::string &id : connection->waiting)
+          EXPECT_EQ (0u, runs ("/book/" + id) + runs ("/read/" + id)) << id;
+        ended += connection->waiting.size ();
+        *connection = PieceConnection ();
+        return;
+      }
+    EXPECT_FALSE (from->ended) << connection->waiting.size ();
+    EXPECT_FALSE (from->reset) << connection->waiting.size ();
+  }
+};
+
+TEST_P (RandomPieces, EachRequestGetsOneResponseInOrder)
+{
+  EXPECT_TRUE (wait (
+      [&] {
+        for (PieceConnection &connection : connections)
+          if (chance (60))
+            send_piece (&connection);
+        if (chance (40))
+          change_config ();
+        if (chance (10) || (server_down && chance (50)))
+          toggle_server ();
+        tick ();
+        update_own_server ();
+        if (chance (70))
+          respond_to_open ();
+        for (PieceConnection &connection : connections)
+          collect (&connection);
+        return ended == REQUEST_COUNT || HasFatalFailure ();
+      },
+      3 * GIVE_UP_US))
+      << ended << " of " << sent;
+  EXPECT_EQ (0u, entry_stats (a->entry).open_requests);
+  EXPECT_EQ (0u, entry_stats (b->entry).open_requests);
+}
+
+INSTANTIATE_TEST_SUITE_P (Seeds, RandomPieces, testing::Range (1, 6));
 }
--- a/tests/mesh_policy_test.cc
+++ b/tests/mesh_policy_test.cc
@@ -77,6 +77,14 @@
     = make_spec ([] (ConfigSpec *spec) { spec->timeout_s = 1; });
 const ConfigSpec longer
     = make_spec ([] (ConfigSpec *spec) { spec->timeout_s = 300; });
+const ConfigSpec kinds_swapped
+    = make_spec ([] (ConfigSpec *spec) { spec->kinds_swapped = true; });
+const ConfigSpec one_attempt
+    = make_spec ([] (ConfigSpec *spec) { spec->attempts = 1; });
+const ConfigSpec no_time
+    = make_spec ([] (ConfigSpec *spec) { spec->timeout_s = 0; });
+const ConfigSpec limited = make_spec (
+    [] (ConfigSpec *spec) { spec->limit = R"(,"ratePerS":1,"burst":1)"; });
 const ConfigSpec empty = make_spec ([] (ConfigSpec *spec) {
   spec->routes = spec->service = spec->account = false;
 });
@@ -89,7 +97,12 @@
   { "RouteSplit", { split }, false, 0 },
   { "ShorterTimeout", { shorter }, false, 200 },
   { "LongerTimeout", { longer }, false, 200 },
+  { "KindsSwapped", { kinds_swapped }, false, 200 },
+  { "OneAttempt", { one_attempt }, false, 200 },
+  { "NoTime", { no_time }, false, 503 },
   { "AccountRemoved", { no_account }, false, 401 },
+  { "AccountLimited", { limited }, false, 429 },
+  { "LimitedAndRemoved", { limited, no_account }, false, 401 },
   { "AllRemoved", { empty }, false, 404 },
   { "RemovedAndRestored", { empty, {} }, false, 200 },
   { "ManyAtOnce",
--- a/tests/support_config_feed.h
+++ b/tests/support_config_feed.h
@@ -110,14 +110,7 @@
   SetUp () override
   {
     Two::SetUp ();
-    error_info_t error = {};
-    watch = backend_watch_new (
-        &loop, platform_dialect (), b->runner, "s", &log,
-        [] (void *ctx) { ((ConfigFeed *)ctx)->update_accepting (); }, this);
-    http_handler_t handler = backend_watch_handler (watch);
-    http_limits_t http_limits = limits ();
-    announcement_server
-        = http_server_new (&loop, loopback (), &http_limits, &handler, &error);
+    open_watch ();
     operator_feed_handler_t operators
         = { [] (void *ctx, const policy_t *policy) {
              ((ConfigFeed *)ctx)->apply (policy);
@@ -137,6 +130,19 @@
     operator_feed_free (feed);
     Two::TearDown ();
   }
+  /* Starts to watch the server beside B, without a configuration.  */
+  void
+  open_watch ()
+  {
+    error_info_t error = {};
+    watch = backend_watch_new (
+        &loop, platform_dialect (), b->runner, "s", &log,
+        [] (void *ctx) { ((ConfigFeed *)ctx)->update_accepting (); }, this);
+    http_handler_t handler = backend_watch_handler (watch);
+    http_limits_t http_limits = limits ();
+    announcement_server
+        = http_server_new (&loop, loopback (), &http_limits, &handler, &error);
+  }
   void
   apply_to_entry (Sidecar *sidecar, const policy_t *policy)
   {
