Find the accounts of rate limits by a hash table

Each configuration sets the limits of all accounts, and each request looks its account up, by a walk over all of them. The time in which a sidecar stood still at a change grew with the square of the number of accounts. After a second other sidecars take it for silent and close their links, which breaks off the responses that are being passed on; and all sidecars get a configuration at about the same time.

Reports of other sidecars, which name accounts by hash, are found likewise. As before, the first of two accounts with one hash is found. No deployment at hand has more than eight accounts.

--- a/src/mesh/quota.c
+++ b/src/mesh/quota.c
@@ -16,7 +16,8 @@
   /* Periods after which members that have sent no report are no longer waited
      for: they have left without notice.  */
   STARTUP_PERIODS_MAX = 5 * US_PER_S / QUOTA_PERIOD_US,
-  WINDOW_PERIODS_MAX = QUOTA_WINDOW_MAX_US / QUOTA_PERIOD_US
+  WINDOW_PERIODS_MAX = QUOTA_WINDOW_MAX_US / QUOTA_PERIOD_US,
+  ACCOUNT_CAPACITY_MIN = 16
 };
 
 /* Part of the fleet's allowance that is divided equally among the reachable
@@ -104,6 +105,10 @@
 {
   account_t *accounts;
   size_t account_count;
+  size_t account_capacity; /* a power of two, or 0 */
+  /* Hash table of 2 * account_capacity indices plus 1 into accounts, by hash;
+     0 is free.  */
+  uint32_t *account_slots;
   unreachable_member_t *unreachable_members;
   size_t unreachable_member_count;
   vm_id_t *reporting_members; /* sent a report since the start */
@@ -139,18 +144,67 @@
   for (size_t i = 0; i < quota->account_count; i++)
     free (quota->accounts[i].peers);
   free (quota->accounts);
+  free (quota->account_slots);
   free (quota->unreachable_members);
   free (quota->reporting_members);
   free (quota);
 }
 
+/* Returns the first account with HASH, and with NAME unless it is NULL, or
+   NULL.  */
+static account_t *
+find_account_in_slots (const quota_t *quota, uint32_t hash, const char *name)
+{
+  if (quota->account_capacity == 0)
+    return NULL;
+  size_t mask = 2 * quota->account_capacity - 1;
+  for (size_t i = hash & mask; quota->account_slots[i] != 0;
+       i = (i + 1) & mask)
+    {
+      account_t *account = &quota->accounts[quota->account_slots[i] - 1];
+      if (account->hash == hash
+          && (name == NULL || strcmp (account->name, name) == 0))
+        return account;
+    }
+  return NULL;
+}
+
 static account_t *
 find_account (const quota_t *quota, const char *name)
 {
+  return find_account_in_slots (quota, quota_account_hash (name), name);
+}
+
+static account_t *
+find_account_by_hash (const quota_t *quota, uint32_t hash)
+{
+  return find_account_in_slots (quota, hash, NULL);
+}
+
+static void
+add_account_slot (quota_t *quota, size_t index)
+{
+  size_t mask = 2 * quota->account_capacity - 1;
+  size_t i = quota->accounts[index].hash & mask;
+  while (quota->account_slots[i] != 0)
+    i = (i + 1) & mask;
+  quota->account_slots[i] = (uint32_t)index + 1;
+}
+
+static void
+double_account_capacity (quota_t *quota)
+{
+  size_t capacity = quota->account_capacity > 0 ? 2 * quota->account_capacity
+                                                : ACCOUNT_CAPACITY_MIN;
+  free (quota->account_slots);
+  quota->accounts
+      = realloc (quota->accounts, capacity * sizeof *quota->accounts);
+  quota->account_slots = calloc (2 * capacity, sizeof *quota->account_slots);
+  if (quota->accounts == NULL || quota->account_slots == NULL)
+    abort ();
+  quota->account_capacity = capacity;
   for (size_t i = 0; i < quota->account_count; i++)
-    if (strcmp (quota->accounts[i].name, name) == 0)
-      return &quota->accounts[i];
-  return NULL;
+    add_account_slot (quota, i);
 }
 
 static account_t *
@@ -159,29 +213,19 @@
   account_t *account = find_account (quota, name);
   if (account != NULL)
     return account;
-  quota->accounts = realloc (quota->accounts, (quota->account_count + 1)
-                                                  * sizeof *quota->accounts);
-  if (quota->accounts == NULL)
-    abort ();
-  account = &quota->accounts[quota->account_count++];
+  if (quota->account_count == quota->account_capacity)
+    double_account_capacity (quota);
+  account = &quota->accounts[quota->account_count];
   *account = (account_t){
+    .hash = quota_account_hash (name),
     .usable_share = 1,
     .period_count = (uint32_t)(quota->window_us / QUOTA_PERIOD_US),
   };
   snprintf (account->name, sizeof account->name, "%s", name);
-  account->hash = quota_account_hash (name);
+  add_account_slot (quota, quota->account_count++);
   return account;
 }
 
-static account_t *
-find_account_by_hash (const quota_t *quota, uint32_t hash)
-{
-  for (size_t i = 0; i < quota->account_count; i++)
-    if (quota->accounts[i].hash == hash)
-      return &quota->accounts[i];
-  return NULL;
-}
-
 static bool
 is_unreachable (const quota_t *quota, vm_id_t vm)
 {
--- a/tests/mesh_decisions_test.cc
+++ b/tests/mesh_decisions_test.cc
@@ -421,6 +421,34 @@
   EXPECT_LE (fleet.max_in_window, max_allowed (30, 30));
 }
 
+TEST (RateLimitAccounts, CountsTheRequestsOfEachOfManyAccounts)
+{
+  const int ACCOUNT_COUNT = 3000;
+  quota_t *quota = quota_new (QUOTA_WINDOW_US);
+  std::map<uint32_t, uint32_t> admitted; /* by the hash of the account */
+  for (int i = 0; i < ACCOUNT_COUNT; i++)
+    quota_set_limit (quota, ("u" + std::to_string (i)).c_str (), 0, 0);
+  for (int i = 0; i < ACCOUNT_COUNT; i++)
+    for (int j = 0; j < i % 4; j++)
+      EXPECT_TRUE (quota_acquire (quota, ("u" + std::to_string (i)).c_str ()));
+  for (int i = 3; i < ACCOUNT_COUNT; i += 4)
+    quota_refund (quota, ("u" + std::to_string (i)).c_str ());
+  quota_tick (
+      quota, 1, 0.5, true,
+      [] (void *ctx, const quota_report_t *report) {
+        auto *counts = (std::map<uint32_t, uint32_t> *)ctx;
+        (*counts)[report->account_hash] = report->admitted_count;
+      },
+      &admitted);
+  EXPECT_EQ ((size_t)ACCOUNT_COUNT, admitted.size ());
+  for (int i = 0; i < ACCOUNT_COUNT; i++)
+    {
+      uint32_t hash = quota_account_hash (("u" + std::to_string (i)).c_str ());
+      EXPECT_EQ (std::min (i % 4, 2), (int)admitted[hash]) << i;
+    }
+  quota_free (quota);
+}
+
 TEST (RateLimitFaults, ARefundedRequestCanBeAcquiredAgain)
 {
   quota_t *quota = quota_new (QUOTA_WINDOW_US);
