Apply a new memory_mb as soon as SIGHUP reads it

A SIGHUP logged the new memory_mb, but the bound on the bodies of callers stayed until the next configuration: a sidecar given less memory went on to hold a quarter of the old amount, and one given more refused bodies with 503 as before. The limits were set only when a configuration came into force.

apply_http_limits now sets them after both.

--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -77,14 +77,23 @@
   .idle_timeout_us = 15 * US_PER_S,
 };
 
+/* Applies the limits of the configuration and of the settings.  */
+static void
+apply_http_limits (sidecar_t *sidecar)
+{
+  const policy_t *policy = operator_feed_policy (sidecar->operator_feed);
+  http_limits_t limits = caller_http_limits (
+      sidecar, policy != NULL ? &policy->limits : &initial_limits);
+  http_server_set_limits (sidecar->caller_server, &limits,
+                          LOWER_LIMITS_NOTICE_US);
+}
+
 static void
 on_policy_changed (void *ctx, const policy_t *policy)
 {
   sidecar_t *sidecar = ctx;
-  http_limits_t limits = caller_http_limits (sidecar, &policy->limits);
   entry_set_policy (sidecar->entry, policy);
-  http_server_set_limits (sidecar->caller_server, &limits,
-                          LOWER_LIMITS_NOTICE_US);
+  apply_http_limits (sidecar);
   for (size_t i = 0; i < policy->account_count; i++)
     quota_set_limit (sidecar->quota, policy->accounts[i].name,
                      policy->accounts[i].rate_per_s,
@@ -480,6 +489,7 @@
   /* Other settings, such as addresses, take effect only at the next start.  */
   sidecar->settings.stop_s = settings.stop_s;
   sidecar->settings.memory_mb = settings.memory_mb;
+  apply_http_limits (sidecar);
   event_log_write (&sidecar->log, EVENT_LIFECYCLE, "settings-reloaded",
                    "stop-s=%g memory-mb=%u", settings.stop_s,
                    settings.memory_mb);
--- a/tests/live_reload_test.cc
+++ b/tests/live_reload_test.cc
@@ -4,9 +4,12 @@
 
 extern "C"
 {
+#include "support_http.h"
 #include "support_proc.h"
 }
 
+#include "support_edge.h"
+
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -57,6 +60,14 @@
     close (log[1]);
     log[1] = -1;
   }
+  void
+  write_settings (const std::string &text)
+  {
+    FILE *file = fopen (path, "w");
+    ASSERT_NE (nullptr, file);
+    fputs (text.c_str (), file);
+    fclose (file);
+  }
   bool
   prints (const std::string &text)
   {
@@ -124,6 +135,43 @@
   EXPECT_EQ (0, proc_wait (&sidecar, PROC_WAIT_MS));
 }
 
+/* Bodies that are being received, five of a megabyte, fit in a quarter of 64
+   MB, but not in a quarter of 16 MB.  */
+TEST_F (Reload, LessMemoryAppliesToBodiesThatAreBeingReceived)
+{
+  HeldPort callers;
+  std::string settings = SETTINGS;
+  settings.replace (settings.find ("127.0.0.1:0"), strlen ("127.0.0.1:0"),
+                    "127.0.0.1:" + std::to_string (callers.port));
+  write_settings (settings);
+  start ();
+  ASSERT_TRUE (prints ("started")) << printed;
+  const char HEAD[]
+      = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1048576\r\n\r\n";
+  std::string part = HEAD + std::string (1000000, 'b');
+  int fds[5];
+  for (int &fd : fds)
+    {
+      fd = http_connect (loopback (callers.port), PROC_WAIT_MS);
+      ASSERT_TRUE (http_send (fd, part.data (), part.size ()));
+    }
+  settings.insert (settings.size () - 1, ",\"memory_mb\":16");
+  write_settings (settings);
+  proc_signal (&sidecar, SIGHUP);
+  ASSERT_TRUE (prints ("settings-reloaded")) << printed;
+  EXPECT_TRUE (proc_wait_until (
+      [] (void *ctx) {
+        struct pollfd poller = { *(int *)ctx, POLLIN, 0 };
+        send (poller.fd, "b", 1, MSG_NOSIGNAL);
+        return poll (&poller, 1, 0) > 0;
+      },
+      &fds[0], PROC_WAIT_MS));
+  for (int fd : fds)
+    close (fd);
+  proc_signal (&sidecar, SIGTERM);
+  EXPECT_EQ (0, proc_wait (&sidecar, PROC_WAIT_MS));
+}
+
 /* The default of stop_s leaves a stop time; that of the new file does not.  */
 TEST_F (Reload, AStopThatHasBegunKeepsItsEnd)
 {
