Do not pause a reply that is still buffered

What callers saw: a read of 32 to 64 KiB at the sidecar beside its server waited until its deadline for a 504, although its server had replied, when its caller had not yet read 256 KiB of the responses before it on the connection.

Cause: flow control looked at all that the connection holds, and paused the run as soon as a part of its reply had come. Only an exchange that streams is told when its caller has read, so nobody resumed the run.

Now only an exchange that streams is held back; a buffered reply takes BUFFERED_MAX_BYTES at most.

--- a/src/edge/entry_answer.c
+++ b/src/edge/entry_answer.c
@@ -26,7 +26,10 @@
 void
 exchange_update_flow (exchange_t *exchange, size_t size)
 {
-  bool full = http_buffered_bytes (exchange->http) > UNREAD_MAX_BYTES;
+  /* Only an exchange that streams is told when its caller has read.  A reply
+     that is buffered is bounded by BUFFERED_MAX_BYTES.  */
+  bool full = exchange->step == STEP_STREAMING
+              && http_buffered_bytes (exchange->http) > UNREAD_MAX_BYTES;
   exchange->uncredited_bytes += size;
   if (exchange->run != NULL && full)
     run_pause (exchange->run, true);
--- a/src/edge/entry_impl.h
+++ b/src/edge/entry_impl.h
@@ -211,8 +211,9 @@
 
 /* Applies flow control after the caller has read the response (SIZE is 0) or
    SIZE more bytes of the reply have arrived.  While the caller has more than
-   UNREAD_MAX_BYTES unread, a local run is paused and a remote sidecar gets no
-   credit, so that a long reply is read no faster than the caller reads.  */
+   UNREAD_MAX_BYTES unread of the connection's responses, the local run of a
+   reply that is passed on is paused, or the remote sidecar gets no credit, so
+   that a long reply is read no faster than the caller reads.  */
 void exchange_update_flow (exchange_t *exchange, size_t size);
 
 /* --- entry_end.c ------------------------------------------------------- */
--- a/tests/mesh_cut_test.cc
+++ b/tests/mesh_cut_test.cc
@@ -187,6 +187,68 @@
                             return std::string (row.param.name);
                           });
 
+class SlowReaderOfMany : public Two,
+                         public testing::WithParamInterface<RequestRow>
+{
+};
+
+/* The first request is answered last.  What its caller has not yet read of the
+   responses behind it must not stop for good the next response, of which only
+   a part has arrived.  */
+TEST_P (SlowReaderOfMany, BufferedResponseResumesWhenItsCallerReads)
+{
+  const RequestRow &row = GetParam ();
+  /* More than the kernel takes for a caller that does not read.  */
+  const size_t unread_count = 30;
+  const std::string unread (250 * 1000, 'x');
+  if (row.at_server_sidecar)
+    start_a_beside_the_server ();
+  http_limits_t many = limits ();
+  many.pipelined_requests = unread_count + 2;
+  many.unread_bytes = unread_count * unread.size ();
+  http_server_set_limits (a->callers, &many, 0);
+  Caller caller (http_server_port (a->callers));
+  auto send_request = [&] (const std::string &id) {
+    caller.send (request (row.method, (row.path + id).c_str (), id.c_str ()));
+  };
+  send_request ("first");
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  for (size_t i = 0; i < unread_count; i++)
+    {
+      std::string id = "id-" + std::to_string (i);
+      send_request (id);
+      ASSERT_TRUE (wait ([&] { return backend->open.size () == 2; }));
+      answer_signed (backend->open[1], id, unread);
+      backend->open.pop_back ();
+      ASSERT_TRUE (wait (
+          [&] { return http_server_stats (a->callers).open_exchanges == 1; }));
+    }
+  send_request ("last");
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 2; }));
+  answer_signed (backend->open[0], "first", "x");
+  ASSERT_TRUE (wait (
+      [&] { return http_server_stats (a->callers).open_exchanges == 1; }));
+  start_long_response (backend->open[1], "last", BUFFERED_BYTES);
+  int turns = 0;
+  ASSERT_TRUE (wait ([&] {
+    turns += http_buffered_bytes (backend->open[1]) == 0;
+    return turns > 10;
+  }));
+  ASSERT_EQ (unread_count + 1, entry_stats (a->entry).ends[ENTRY_ANSWERED]);
+  finish_long_response (backend->open[1], BUFFERED_BYTES);
+  EXPECT_TRUE (wait ([&] {
+    caller.has ("");
+    return entry_stats (a->entry).open_requests == 0;
+  }));
+  EXPECT_EQ (unread_count + 2, entry_stats (a->entry).ends[ENTRY_ANSWERED]);
+}
+
+INSTANTIATE_TEST_SUITE_P (Table, SlowReaderOfMany,
+                          testing::ValuesIn (request_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+
 TEST_F (Two, ResponseIsAcceptedFromARemovedPeer)
 {
   Caller caller (http_server_port (a->callers));
