Answer a query at the VM of an earlier process of another service

What callers saw: a booking whose server had crashed, and whose address a server of another service had taken, waited until its deadline for a 504, and so did what was pipelined behind it.

Cause: the sidecar there refused the query as one for another service, without a look at the incarnation that it names. That refusal says nothing about the run, so the entry point asked every 50 ms until the deadline.

Now the runner answers queries for any service: the incarnation is not its own, so the outcome is unknown for good, and the caller gets the 502 at once. The entry point still asks older sidecars again.

--- a/src/edge/serve.c
+++ b/src/edge/serve.c
@@ -59,7 +59,9 @@
   served_call->stream = stream;
   peer_stream_set_user_data (stream, served_call);
   start_verdict_t result = START_FAILED;
-  if (strcmp (call->service, context->service) == 0)
+  /* The runner tells which process a query is meant for, also if that one
+     served another service.  */
+  if (call->asks_outcome || strcmp (call->service, context->service) == 0)
     result = runner_start_call (context->runner, call, &sink,
                                 &served_call->run, &failure);
   if (result == START_FAILED)
--- a/src/edge/serve.h
+++ b/src/edge/serve.h
@@ -16,8 +16,8 @@
   const char *service;
 } serve_context_t;
 
-/* Starts CALL.  Fails STREAM at once if CALL is for another service or the
-   runner refuses it.  */
+/* Starts CALL.  Fails STREAM at once if the runner refuses CALL, or if it is
+   for another service and not a query.  */
 void serve_call (serve_context_t *context, peer_stream_t *stream,
                  const call_request_t *call);
 /* Cancels the call of STREAM.  */
