Keep the run times of routes apart

Routes whose names hash to one of 4096 slots shared one mean run time. A slow route beside a quick one in a slot has its reads taken from their servers after 200 ms or so and begun again elsewhere; a quick one is found overdue too late. Names that share a slot are likelier the more routes a configuration has: with 43 routes, as on a larger deployment, 1 in 5 has such a pair (43 * 42 / 2 of 4096).

A slot now belongs to a route by name, and a route has the first free one of 16. The new test compares the run time of one route with those of 50000 other names: it fails at the first with the same slot before, and passes after. How many reads this spares a deployment was not measured.

--- a/src/edge/entry_impl.h
+++ b/src/edge/entry_impl.h
@@ -17,6 +17,7 @@
   SERVERS_TRIED_MAX = 8,
   SERVICES_MAX = 64,         /* services with a service_state_t each */
   ROUTE_TIMING_SLOTS = 4096, /* slots of the hash table of route timings */
+  ROUTE_TIMING_PROBES = 16,  /* slots that a route may have */
   /* Time before the deadline that is reserved for the response to reach the
      caller.  */
   RESPONSE_MARGIN_US = 20 * US_PER_MS
@@ -46,10 +47,11 @@
   double mean_cost_us;
 } service_state_t;
 
-/* Run time of the routes whose names hash to one slot.  */
+/* Run time of a route.  */
 typedef struct route_timing_t
 {
-  double mean_run_us; /* moving average; 0 before the first run */
+  char route[NAME_BYTES]; /* "" in a free slot */
+  double mean_run_us;     /* moving average; 0 before the first run */
 } route_timing_t;
 
 typedef struct exchange_t exchange_t;
@@ -155,8 +157,10 @@
 retry_pool_t *entry_retry_pool (entry_point_t *entry, const char *service);
 retry_budget_t entry_retry_budget (const entry_point_t *entry);
 
-/* Returns the index of ROUTE's slot in route_timings.  */
-size_t entry_timing_slot (const char *route);
+/* Returns the index of ROUTE's slot in route_timings, which is a free one if
+   the route has none yet.  Once all slots that it may have are taken, it
+   shares the first of them.  */
+size_t entry_timing_slot (const entry_point_t *entry, const char *route);
 
 /* --- entry_place.c ----------------------------------------------------- */
 
--- a/src/edge/entry_point.c
+++ b/src/edge/entry_point.c
@@ -151,6 +151,17 @@
   return true;
 }
 
+/* Returns the timing of ROUTE, which is made if there is none.  */
+static route_timing_t *
+route_timing (entry_point_t *entry, const char *route)
+{
+  route_timing_t *timing
+      = &entry->route_timings[entry_timing_slot (entry, route)];
+  if (timing->route[0] == '\0')
+    snprintf (timing->route, sizeof timing->route, "%s", route);
+  return timing;
+}
+
 /* Sets the members of the exchange that depend on the route, and picks one of
    its services by weight.  TIMEOUT_US is how long the caller waits; 0 is
    unknown.  */
@@ -169,7 +180,7 @@
   exchange->policy_generation = entry->policy_generation;
   exchange->route_index = route_index;
   snprintf (exchange->route, sizeof exchange->route, "%s", route->name);
-  exchange->timing = &entry->route_timings[entry_timing_slot (route->name)];
+  exchange->timing = route_timing (entry, route->name);
   exchange->idempotent = route->idempotent;
   exchange->priority = route->priority;
   exchange->route_priority = route->priority;
@@ -405,5 +416,5 @@
 double
 entry_mean_run_us (const entry_point_t *entry, const char *route)
 {
-  return entry->route_timings[entry_timing_slot (route)].mean_run_us;
+  return entry->route_timings[entry_timing_slot (entry, route)].mean_run_us;
 }
--- a/src/edge/entry_tree.c
+++ b/src/edge/entry_tree.c
@@ -58,9 +58,17 @@
 } tree_walk_t;
 
 size_t
-entry_timing_slot (const char *route)
+entry_timing_slot (const entry_point_t *entry, const char *route)
 {
-  return XXH3_64bits (route, strlen (route)) % ROUTE_TIMING_SLOTS;
+  size_t first = XXH3_64bits (route, strlen (route)) % ROUTE_TIMING_SLOTS;
+  for (size_t i = 0; i < ROUTE_TIMING_PROBES; i++)
+    {
+      size_t slot = (first + i) % ROUTE_TIMING_SLOTS;
+      const char *owner = entry->route_timings[slot].route;
+      if (owner[0] == '\0' || strcmp (owner, route) == 0)
+        return slot;
+    }
+  return first;
 }
 
 /* Adds COST_US to SERVICE.  Services past TREE_SERVICES_MAX are left out.  */
--- a/tests/mesh_overdue_test.cc
+++ b/tests/mesh_overdue_test.cc
@@ -53,6 +53,22 @@
   EXPECT_FALSE (caller.ended);
 }
 
+/* A slow route that shares the mean run time of a quick one would have its
+   reads taken from their servers as overdue.  */
+TEST_F (Two, NoRouteSharesTheRunTimeOfAnother)
+{
+  Caller caller (http_server_port (a->callers));
+  caller.send (request ("GET", "/read/1", "id-1"));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  answer_signed (backend->open[0], "id-1", "quick");
+  ASSERT_TRUE (wait ([&] { return caller.has ("quick"); }));
+  ASSERT_LT (0, entry_mean_run_us (a->entry, "read"));
+  for (int i = 0; i < 50000; i++)
+    ASSERT_EQ (
+        0, entry_mean_run_us (a->entry, ("r" + std::to_string (i)).c_str ()))
+        << i;
+}
+
 std::string
 keyed_request (const char *path, const char *id)
 {
