Send the replies of the last turn to other sidecars before a sidecar exits

A run for another sidecar that ended in the turn in which a stopping sidecar ran out of time had its reply dropped: frames are sent by a deferred task, which no longer runs. The other sidecar saw the link end, asked for the outcome of a request that may run once only, and its caller got 504 or an unknown outcome for a request that had been answered.

peer_set_free now sends the frames made so far, as far as the sockets take them, before it closes the links. The same sends the cancellations that the exit itself makes.

Test: Two.ReplyOfARunThatEndsAsItsSidecarEndsReachesTheCaller got 504 before.

--- a/src/edge/peer.c
+++ b/src/edge/peer.c
@@ -252,6 +252,8 @@
     return;
   ev_io_stop (peers->loop->ev, &peers->accept_watcher);
   close (peers->accept_watcher.fd);
+  for (peer_link_t *link = peers->links; link != NULL; link = link->next)
+    link_send_output (link);
   while (peers->links != NULL)
     link_close (peers->links);
   loop_cancel (peers->loop, &peers->free_closed_task);
--- a/src/edge/peer.h
+++ b/src/edge/peer.h
@@ -64,8 +64,8 @@
    acknowledged by its peer.  */
 bool peer_set_has_unacked_data (const peer_set_t *peers);
 
-/* Closes all links and frees PEERS.  The callbacks run as when links are
-   lost.  */
+/* Sends the frames made so far as far as the sockets take them, closes all
+   links and frees PEERS.  The callbacks run as when links are lost.  */
 void peer_set_free (peer_set_t *peers);
 
 /* Id of this sidecar: its address with the port that was bound.  */
--- a/src/edge/peer_impl.h
+++ b/src/edge/peer_impl.h
@@ -103,6 +103,8 @@
 /* Creates a link on the socket FD, which is connecting if OUTBOUND, else
    connected.  Takes over FD.  */
 peer_link_t *link_open (peer_set_t *peers, int fd, bool outbound);
+/* Sends what is queued as far as the socket takes it, before a close.  */
+void link_send_output (peer_link_t *link);
 /* Closes LINK and ends its calls.  LINK is freed before the loop next
    waits.  */
 void link_close (peer_link_t *link);
--- a/src/edge/peer_link.c
+++ b/src/edge/peer_link.c
@@ -51,6 +51,19 @@
     ev_io_stop (ev, &link->write_watcher);
 }
 
+void
+link_send_output (peer_link_t *link)
+{
+  ssize_t sent = 1;
+  while (!link->connecting && sent > 0 && bytes_size (&link->output) > 0)
+    {
+      sent = send (link->read_watcher.fd, bytes_data (&link->output),
+                   bytes_size (&link->output), MSG_NOSIGNAL);
+      if (sent > 0)
+        bytes_consume (&link->output, (size_t)sent);
+    }
+}
+
 static peer_traffic_t
 traffic_of_kind (mesh_kind kind)
 {
--- a/tests/mesh_ends_test.cc
+++ b/tests/mesh_ends_test.cc
@@ -175,6 +175,19 @@
   EXPECT_TRUE (wait ([&] { return !http_server_is_busy (server.server); }));
 }
 
+/* Frames are sent by a deferred task, as responses are.  */
+TEST_F (Two, ReplyOfARunThatEndsAsItsSidecarEndsReachesTheCaller)
+{
+  Caller caller (http_server_port (a->callers));
+  caller.send (request ("POST", "/book/1", "id-1"));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  answer_signed (backend->open[0], "id-1", "booked");
+  ASSERT_TRUE (wait ([&] { return runner_open_run_count (b->runner) == 0; }));
+  b.reset ();
+  ASSERT_TRUE (wait ([&] { return caller.has ("\r\n\r\n"); }));
+  EXPECT_TRUE (caller.has ("booked")) << caller.got;
+}
+
 class EndOfStop : public Two, public testing::WithParamInterface<const char *>
 {
 };
