--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -386,10 +386,9 @@
 }
 
 static void
-end_stop (sidecar_t *sidecar)
+log_stopped (sidecar_t *sidecar)
 {
   int64_t elapsed_us = sidecar->loop.now_us - sidecar->stop_begin_us;
-  stop_reading (sidecar);
   http_unhandled_input_t unhandled
       = http_server_unhandled_input (sidecar->caller_server);
   event_log_write (&sidecar->log, EVENT_LIFECYCLE, "stopped",
@@ -399,9 +398,27 @@
                    open_request_count (sidecar),
                    http_server_stats (sidecar->caller_server).connections,
                    unhandled.unread, unhandled.partly_read);
+}
+
+static void
+end_stop (sidecar_t *sidecar)
+{
+  stop_reading (sidecar);
+  log_stopped (sidecar);
   ev_break (sidecar->loop.ev, EVBREAK_ALL);
 }
 
+/* Returns whether nothing is left to do or to send.  Once all requests have
+   ended, callers that connect are refused, and go elsewhere.  */
+static bool
+is_stop_complete (sidecar_t *sidecar)
+{
+  if (!is_drained (sidecar))
+    return false;
+  http_server_stop_listening (sidecar->caller_server);
+  return !has_unfinished_io (sidecar);
+}
+
 /* Advances the phase of a graceful stop, and leaves the event loop at the end
    of the stop.  A phase lasts a turn of the loop at least, however late the
    loop runs: what it ends makes connections read on, and so opens and answers
@@ -416,15 +433,8 @@
   else if (sidecar->phase == PHASE_NOT_READY
            && elapsed_us >= NOT_READY_NOTICE_US)
     begin_drain (sidecar);
-  else if (remaining_us <= -FLUSH_TIMEOUT_US)
+  else if (is_stop_complete (sidecar) || remaining_us <= -FLUSH_TIMEOUT_US)
     end_stop (sidecar);
-  else if (is_drained (sidecar))
-    {
-      /* Callers that connect from now on are refused, and go elsewhere.  */
-      http_server_stop_listening (sidecar->caller_server);
-      if (!has_unfinished_io (sidecar))
-        end_stop (sidecar);
-    }
 }
 
 /* Logs a long gap between two loop iterations, in which no socket was read.
