Go on admitting requests of an account whose limit is raised

When a configuration raised an account's rate or burst, each sidecar refused its requests with 429 until the next period, up to 250 ms: quota_set_limit took the allowance of the period back to one request for any new limit. A series of changes does so with each.

Only a lower limit, or one for an account that had none, now takes the allowance back. What was allowed under the lower limit is within a higher one too. LimitChange: the cases HigherRate and HigherBurst admitted 1 request in the period of the change where 20 were allowed, and now admit these; lower limits still admit one.

--- a/src/mesh/quota.c
+++ b/src/mesh/quota.c
@@ -447,12 +447,15 @@
   if (had_limit && account->rate_per_s == rate_per_s
       && account->burst == burst)
     return;
+  double previous_limit = had_limit ? window_limit (account) : INFINITY;
   account->rate_per_s = rate_per_s;
   account->burst = burst;
   if (!had_limit && rate_per_s > 0)
     fill_window (account);
   update_usable_share (quota, account);
-  account->allowance = fmin (account->allowance, 1);
+  /* What may still be admitted in this period is within a higher limit too. */
+  if (window_limit (account) < previous_limit)
+    account->allowance = fmin (account->allowance, 1);
 }
 
 bool
--- a/tests/mesh_decisions_test.cc
+++ b/tests/mesh_decisions_test.cc
@@ -449,6 +449,52 @@
   quota_free (quota);
 }
 
+struct LimitChangeRow
+{
+  const char *name;
+  double rate;
+  double burst;
+  int admitted; /* at least, in the period of the change */
+};
+
+class LimitChange : public testing::TestWithParam<LimitChangeRow>
+{
+};
+
+/* An account may admit in this period what it could before its limit was
+   raised.  */
+TEST_P (LimitChange, KeepsTheAllowanceUnlessTheLimitIsLowered)
+{
+  quota_t *quota = quota_new (QUOTA_WINDOW_US);
+  quota_set_limit (quota, "a", 100, 100);
+  int64_t now_us = US_PER_S;
+  for (int i = 0; i < 40; i++)
+    quota_tick (
+        quota, now_us += QUOTA_PERIOD_US, 0, true,
+        [] (void *, const quota_report_t *) {}, nullptr);
+  quota_set_limit (quota, "a", GetParam ().rate, GetParam ().burst);
+  int admitted = 0;
+  while (admitted < 1000 && quota_acquire (quota, "a"))
+    admitted++;
+  if (GetParam ().admitted > 1)
+    EXPECT_LE (GetParam ().admitted, admitted);
+  else
+    EXPECT_EQ (GetParam ().admitted, admitted);
+  quota_free (quota);
+}
+
+const LimitChangeRow limit_change_rows[] = {
+  { "Unchanged", 100, 100, 20 },   { "HigherRate", 200, 100, 20 },
+  { "HigherBurst", 100, 200, 20 }, { "NoLimit", 0, 0, 1000 },
+  { "LowerRate", 50, 100, 1 },     { "LowerBurst", 100, 50, 1 },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, LimitChange,
+                          testing::ValuesIn (limit_change_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+
 TEST (RateLimitFaults, ARefundedRequestCanBeAcquiredAgain)
 {
   quota_t *quota = quota_new (QUOTA_WINDOW_US);
