Don't abort a response that has begun for one behind it

What callers would see: a response of more than 64 KiB that arrives slowly is broken off 20 ms before the deadline of a complete response behind it, and its connection is closed: both responses are lost, though the server was sound and the first request had time left.

Cause: the timer is set while the reply is buffered, at the deadline behind it. When the reply exceeds the buffer and is passed on, the last moment becomes the exchange's own deadline, but the timer keeps the earlier time. When it expires no step applies, and the exchange was ended as if its deadline had passed.

Now a timer that expires before the last moment is set anew.

--- a/src/edge/entry_place.c
+++ b/src/edge/entry_place.c
@@ -425,5 +425,11 @@
       exchange_query_outcome (exchange);
       return;
     }
+  /* The last moment has moved since the timer was set.  */
+  if (left_us > US_PER_MS)
+    {
+      arm_timer (exchange);
+      return;
+    }
   end_exchange (exchange, ENTRY_DEADLINE_PASSED);
 }
--- a/tests/mesh_pipeline_test.cc
+++ b/tests/mesh_pipeline_test.cc
@@ -11,6 +11,8 @@
 const char LONG_POLICY[] = R"({"version":1,"routes":{
  "book":{"host":"h","pathPrefix":"/book/","kind":"unsafe","timeoutS":90,
   "targetLatencyS":1,"priority":0,"service":"s","attempts":2,"public":true},
+ "brief":{"host":"h","pathPrefix":"/brief/","kind":"safe","timeoutS":1,
+  "targetLatencyS":1,"priority":0,"service":"s","attempts":2,"public":true},
  "read":{"host":"h","pathPrefix":"/read/","kind":"safe","timeoutS":90,
   "targetLatencyS":1,"priority":0,"service":"s","attempts":2,"public":true}},
  "services":{"s":{"healthCheckPath":"/health"}}})";
@@ -87,6 +89,32 @@
     first.send (timed_request ("GET", "/read/0", "first", LONG_US));
     ASSERT_TRUE (wait ([&] { return first.has ("answer of first"); }));
   }
+  /* Waits until the only request without a response is one whose server has
+     not replied, and the response behind it is complete.  */
+  bool
+  wait_for_response_behind ()
+  {
+    return wait ([&] {
+      return http_server_stats (a->callers).open_exchanges == 1
+             && entry_stats (a->entry).ends[ENTRY_NO_ROUTE] == 1;
+    });
+  }
+  /* Sends the head of a reply of SIZE bytes and most of its body.  */
+  void
+  begin_answer (size_t size)
+  {
+    std::string fields = "X-Attempt-Id: slow\r\nX-Server-Signature: s\r\n";
+    std::string part (size - 10, 'x');
+    http_start_response (backend->open[0], 200, fields.data (), fields.size (),
+                         (int64_t)size);
+    http_write_body (backend->open[0], part.data (), part.size ());
+  }
+  void
+  finish_answer ()
+  {
+    http_write_body (backend->open[0], "xxxxxxxxxx", 10);
+    http_end_response (backend->open[0]);
+  }
   size_t
   count_runs (const std::string &target)
   {
@@ -199,6 +227,27 @@
   EXPECT_EQ (0u, caller->got.find ("HTTP/1.1 200")) << caller->got;
 }
 
+/* --- a timer that was set for a response behind ------------------------- */
+
+/* A response that has begun is not ended for one behind it, which was complete
+   before.  */
+TEST_F (Pipeline, StreamedResponseOutlastsTheDeadlineOfAResponseBehind)
+{
+  use_local_server (false);
+  caller = std::make_unique<Caller> (http_server_port (a->callers));
+  caller->send (timed_request ("GET", "/read/1", "slow", LONG_US));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  caller->send (timed_request ("GET", "/unknown/2", "next", SHORT_US));
+  int64_t passed_us = loop.now_us + SHORT_US + 200 * US_PER_MS;
+  ASSERT_TRUE (wait_for_response_behind ());
+  begin_answer (100000);
+  ASSERT_TRUE (wait ([&] { return caller->has ("HTTP/1.1 200"); }));
+  ASSERT_TRUE (wait ([&] { return loop.now_us > passed_us; }));
+  ASSERT_EQ (1u, backend->open.size ()) << "the run was cancelled";
+  finish_answer ();
+  EXPECT_TRUE (wait ([&] { return caller->has ("HTTP/1.1 404"); }));
+}
+
 /* --- an overdue reply is looked at again -------------------------------- */
 
 /* Two replies are lost, and the retry pool has one token.  Once other requests
