Look at the response behind a booking when it is due

What callers would see: the first requests after a start of a sidecar, while it does not know how long runs of their route take: a booking whose reply is lost keeps complete responses behind it back until its own deadline. Their caller closes the connection before.

Cause: when a response came to wait behind it, the request was not overdue, as no run time was known; so the timer was set to its own deadline. A read is looked at again every 200 ms, a booking (or a read without retries left) never. Class: an end decided at one moment and never looked at again.

Now the timer also expires in time for the earliest response behind, and the decision is taken with what is known then.

Evidence: BookingThatBecomesOverdueIsEndedForAResponseBehind got nothing within 20 s before, passes now; all 12 cases of mesh_pipeline_test pass.

--- a/src/edge/entry_place.c
+++ b/src/edge/entry_place.c
@@ -59,15 +59,22 @@
 }
 
 /* Sets the timer to the next check whether the reply is overdue or, if too
-   little time for another run would be left then, to the last moment.  */
+   little time for another run would be left then, to the last moment.  It
+   expires in time for a complete response behind in any case: the reply may
+   count as overdue by then, as the mean run time changes.  */
 static void
 arm_timer (exchange_t *exchange)
 {
   int64_t last_us = last_moment_us (exchange);
+  int64_t behind_us
+      = http_earliest_deadline_behind_us (exchange->http) - RESPONSE_MARGIN_US;
   int64_t run_us = (int64_t)exchange->timing->mean_run_us;
   bool check = exchange->step == STEP_SENT && !exchange->overdue_retry_disabled
                && exchange->overdue_check_us + run_us < last_us;
-  set_timer (exchange, check ? exchange->overdue_check_us : last_us);
+  int64_t until_us = check ? exchange->overdue_check_us : last_us;
+  bool behind_first
+      = behind_us < until_us && behind_us > exchange->entry->deps.loop->now_us;
+  set_timer (exchange, behind_first ? behind_us : until_us);
 }
 
 /* Starts the time in which the reply to an attempt sent now is expected.  */
--- a/tests/mesh_pipeline_test.cc
+++ b/tests/mesh_pipeline_test.cc
@@ -253,6 +253,24 @@
   EXPECT_TRUE (wait ([&] { return caller->has ("HTTP/1.1 404"); }));
 }
 
+/* How long runs take becomes known while the response behind waits.  */
+TEST_F (Pipeline, BookingThatBecomesOverdueIsEndedForAResponseBehind)
+{
+  use_local_server (false);
+  answer_all_but_lost ();
+  caller = std::make_unique<Caller> (http_server_port (a->callers));
+  caller->send (timed_request ("POST", "/book/1", "lost-1", LONG_US));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  caller->send (timed_request ("GET", "/unknown/2", "next", SHORT_US));
+  ASSERT_TRUE (wait_for_response_behind ());
+  Caller other (http_server_port (a->callers));
+  other.send (timed_request ("POST", "/book/0", "first", LONG_US));
+  ASSERT_TRUE (wait ([&] { return other.has ("answer of first"); }));
+  EXPECT_TRUE (wait ([&] { return caller->has ("HTTP/1.1 404"); }))
+      << caller->got;
+  EXPECT_EQ (0u, caller->got.find ("HTTP/1.1 504")) << caller->got;
+}
+
 /* --- an overdue reply is looked at again -------------------------------- */
 
 /* Two replies are lost, and the retry pool has one token.  Once other requests
