Leave a reply alone that arrives in its usual time

Cause: of the requests that are not overdue, only those without a reply were spared.

Now those whose reply is being buffered are too, by the same rule. One that has stalled is ended as before (StalledOnTheSameVm, StalledOnAnotherVm).

--- a/src/edge/entry_place.c
+++ b/src/edge/entry_place.c
@@ -53,7 +53,9 @@
   if (behind_us >= exchange->deadline_us || exchange->step == STEP_STREAMING)
     return own_us;
   behind_us -= RESPONSE_MARGIN_US;
-  bool may_be_running = exchange->step == STEP_SENT && !exchange->run_abandoned
+  bool attempt_open
+      = exchange->step == STEP_SENT || exchange->step == STEP_BUFFERING;
+  bool may_be_running = attempt_open && !exchange->run_abandoned
                         && behind_us < reply_overdue_us (exchange);
   return may_be_running ? own_us : behind_us;
 }
--- a/tests/mesh_pipeline_test.cc
+++ b/tests/mesh_pipeline_test.cc
@@ -253,6 +253,24 @@
   EXPECT_TRUE (wait ([&] { return caller->has ("HTTP/1.1 404"); }));
 }
 
+/* Neither is one that is being buffered, unless it is overdue.  */
+TEST_F (Pipeline, BufferedReplyThatIsNotOverdueIsNotEndedForAnother)
+{
+  use_local_server (false);
+  caller = std::make_unique<Caller> (http_server_port (a->callers));
+  caller->send (timed_request ("GET", "/read/1", "slow", LONG_US));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  caller->send (timed_request ("GET", "/unknown/2", "next", SHORT_US));
+  int64_t passed_us = loop.now_us + SHORT_US + 200 * US_PER_MS;
+  ASSERT_TRUE (wait_for_response_behind ());
+  begin_answer (60000);
+  ASSERT_TRUE (wait ([&] { return loop.now_us > passed_us; }));
+  ASSERT_EQ (1u, backend->open.size ()) << "the run was cancelled";
+  finish_answer ();
+  EXPECT_TRUE (wait ([&] { return caller->has ("HTTP/1.1 404"); }));
+  EXPECT_EQ (0u, caller->got.find ("HTTP/1.1 200"));
+}
+
 /* How long runs take becomes known while the response behind waits.  */
 TEST_F (Pipeline, BookingThatBecomesOverdueIsEndedForAResponseBehind)
 {
