Take the caller's own time for the deadline of a response behind

What callers would see: a 504 for a request whose reply is overdue, because a later request of the same connection has used up the time that its route allows, although its caller waits for longer (X-Timeout-Ms) and so closes nothing.

Cause: http_exchange_t.deadline_us, when the caller stops waiting, was set to the lower of the caller's time and the route's.

Now it is the caller's time; the route's only if the caller gives none.

--- a/src/edge/entry_point.c
+++ b/src/edge/entry_point.c
@@ -175,7 +175,10 @@
   if (timeout_us > 0 && timeout_us < allowed_us)
     allowed_us = timeout_us;
   exchange->deadline_us = first_byte_us + allowed_us;
-  exchange->http->deadline_us = exchange->deadline_us;
+  /* A caller that does not say how long it waits is taken to wait for as long
+     as the route allows.  */
+  if (timeout_us <= 0)
+    exchange->http->deadline_us = exchange->deadline_us;
   exchange->target_latency_us = route->target_latency_us;
   exchange->policy_generation = entry->policy_generation;
   exchange->route_index = route_index;
--- a/tests/mesh_pipeline_test.cc
+++ b/tests/mesh_pipeline_test.cc
@@ -289,6 +289,25 @@
   EXPECT_EQ (0u, caller->got.find ("HTTP/1.1 504")) << caller->got;
 }
 
+/* The caller waits for longer than the route allows, so nothing is lost when
+   the route's time is over.  */
+TEST_F (Pipeline, RouteTimeoutBehindDoesNotEndARequestOfAPatientCaller)
+{
+  use_local_server (false);
+  answer_all_but_lost ();
+  run_one_read ();
+  caller = std::make_unique<Caller> (http_server_port (a->callers));
+  caller->send (timed_request ("GET", "/read/1", "lost-1", LONG_US));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  caller->send (timed_request ("GET", "/brief/2", "next", LONG_US));
+  int64_t passed_us = loop.now_us + 1200 * US_PER_MS;
+  ASSERT_TRUE (wait ([&] { return loop.now_us > passed_us; }));
+  ASSERT_EQ (1u, backend->open.size ()) << "the run was cancelled";
+  answer_signed (backend->open[0], "lost-1", "answer of lost-1");
+  EXPECT_TRUE (wait ([&] { return caller->has ("answer of next"); }));
+  EXPECT_EQ (0u, caller->got.find ("HTTP/1.1 200")) << caller->got;
+}
+
 /* --- an overdue reply is looked at again -------------------------------- */
 
 /* Two replies are lost, and the retry pool has one token.  Once other requests
