--- a/tests/mesh_discarded_test.cc
+++ b/tests/mesh_discarded_test.cc
@@ -116,4 +116,58 @@
   EXPECT_EQ (2u, count_of ("HTTP/1.1 200 OK\r\n", caller.got));
   EXPECT_EQ (1u, count_of ("Connection: close\r\n", caller.got));
 }
+
+/* --- requests that are read at once -------------------------------------- */
+
+/* How the requests of a connection are answered.  */
+struct ReadAtOnceRow
+{
+  const char *name;
+  uint32_t requests_max; /* that may wait for responses */
+  uint32_t held;         /* of the first requests, answered by hand */
+};
+
+class ReadAtOnce : public Loop,
+                   public testing::WithParamInterface<ReadAtOnceRow>
+{
+};
+
+/* A request may be answered while those behind it are read, but not parsed. */
+TEST_P (ReadAtOnce, EachRequestToADrainingServerIsAnswered)
+{
+  const ReadAtOnceRow &row = GetParam ();
+  http_limits_t made = limits ();
+  made.pipelined_requests = row.requests_max;
+  Server server (&loop, made);
+  server.answer = [&] (http_exchange_t *exchange) {
+    if (server.targets.size () <= row.held)
+      server.open.push_back (exchange);
+    else
+      http_respond (exchange, 503, nullptr, 0, "no", 2);
+  };
+  Caller caller (server.port ());
+  ASSERT_TRUE (wait (
+      [&] { return http_server_stats (server.server).connections == 1; }));
+  http_server_drain (server.server);
+  caller.send (get_request ("/1") + get_request ("/2") + get_request ("/3"));
+  ASSERT_TRUE (wait ([&] { return server.open.size () == row.held; }));
+  for (http_exchange_t *exchange : server.open)
+    http_respond (exchange, 200, nullptr, 0, "ok", 2);
+  ASSERT_TRUE (wait ([&] { return caller.is_over (); }));
+  EXPECT_EQ (3u, server.targets.size ());
+  EXPECT_EQ (3u, count_of ("HTTP/1.1 ", caller.got)) << caller.got;
+  EXPECT_EQ (1u, count_of ("Connection: close\r\n", caller.got));
+}
+
+const ReadAtOnceRow read_at_once_rows[] = {
+  { "AllAnsweredAtOnce", 4, 0 },
+  { "FirstHeld", 4, 1 },
+  { "AnsweredAfterAPause", 1, 1 },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, ReadAtOnce,
+                          testing::ValuesIn (read_at_once_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
 }
