--- a/tests/mesh_discarded_test.cc
+++ b/tests/mesh_discarded_test.cc
@@ -170,4 +170,23 @@
                           [] (const auto &row) {
                             return std::string (row.param.name);
                           });
+
+/* The head of a response has announced the close, and its body follows.  */
+TEST_F (Loop, RequestBehindAnAnnouncedCloseIsCounted)
+{
+  Server server (&loop, limits ());
+  Caller caller (server.port ());
+  caller.send (get_request ("/1"));
+  ASSERT_TRUE (wait ([&] { return server.open.size () == 1; }));
+  http_server_drain (server.server);
+  http_start_response (server.open[0], 200, nullptr, 0, 3);
+  ASSERT_TRUE (wait ([&] { return caller.has ("Connection: close"); }));
+  caller.send (get_request ("/2"));
+  EXPECT_TRUE (wait (
+      [&] { return http_server_stats (server.server).late_requests == 1; }));
+  http_write_body (server.open[0], "one", 3);
+  http_end_response (server.open[0]);
+  ASSERT_TRUE (wait ([&] { return caller.is_over (); }));
+  EXPECT_EQ (1u, http_server_stats (server.server).late_requests);
+}
 }
