tests: a refused body behind a request whose reply is lost (red)

What callers would see: a request that the HTTP server refuses itself (413, or 503 when bodies take too much memory) behind one whose reply is lost: neither reaches its caller until the deadline of the first.

Cause: such a request is not handed to the entry point, which alone reads how long its caller waits. Its exchange has no deadline, so the request ahead is not told of it. Class: a response in time for its own request but not for those behind it.

It is not mended here: the HTTP server needs a callback by which the entry point reads the time of a request whose head is complete.

--- a/tests/mesh_pipeline_test.cc
+++ b/tests/mesh_pipeline_test.cc
@@ -308,6 +308,21 @@
   EXPECT_EQ (0u, caller->got.find ("HTTP/1.1 200")) << caller->got;
 }
 
+/* The request is refused before its body has been read.  */
+TEST_F (Pipeline, RefusalOfABodyReachesItsCallerBeforeItsDeadline)
+{
+  use_local_server (false);
+  answer_all_but_lost ();
+  run_one_read ();
+  caller = std::make_unique<Caller> (http_server_port (a->callers));
+  caller->send (timed_request ("GET", "/read/1", "lost-1", LONG_US));
+  std::string large = timed_request ("POST", "/book/2", "large", SHORT_US);
+  large.insert (large.size () - 2, "Content-Length: 5000\r\n");
+  caller->send (large);
+  EXPECT_TRUE (wait ([&] { return caller->has ("HTTP/1.1 413"); }))
+      << caller->got;
+}
+
 /* --- an overdue reply is looked at again -------------------------------- */
 
 /* Two replies are lost, and the retry pool has one token.  Once other requests
