Don't put off the next try for a response that comes to wait behind

What callers would see: a request that waits for a server or for the outcome of a booking, with pipelined requests behind it that are answered in less than 50 ms each, is tried again only after the last of these: up to 31 times 50 ms late. It may be refused for lack of a server by then.

Cause: each complete response behind it set its timer to 50 ms from now, or to the last moment if that was nearer, although the next try was nearer still.

Now the timer is only ever set to an earlier time.

Evidence: ResponsesBehindDoNotPutOffTheNextTry: with 25 responses 20 ms apart the request was sent only after all of them before; now sooner, 10 times of 10.

--- a/src/edge/entry_place.c
+++ b/src/edge/entry_place.c
@@ -308,9 +308,16 @@
 {
   bool attempt_open = exchange->run != NULL || exchange->peer_call != NULL;
   if (attempt_open || exchange->step == STEP_STREAMING)
-    arm_timer (exchange);
-  else if (!schedule_retry (exchange, last_moment_us (exchange)))
-    set_timer (exchange, exchange->entry->deps.loop->now_us);
+    {
+      arm_timer (exchange);
+      return;
+    }
+  /* The next try is not put off.  */
+  const loop_t *loop = exchange->entry->deps.loop;
+  int64_t last_us = last_moment_us (exchange);
+  double remaining_s = ev_timer_remaining (loop->ev, &exchange->timer);
+  if (last_us - loop->now_us < (int64_t)(remaining_s * US_PER_S))
+    set_timer (exchange, last_us);
 }
 
 void
--- a/tests/mesh_pipeline_test.cc
+++ b/tests/mesh_pipeline_test.cc
@@ -323,6 +323,36 @@
       << caller->got;
 }
 
+/* Each response that comes to wait behind a request leaves the time of its
+   next try as it is.  */
+TEST_F (Pipeline, ResponsesBehindDoNotPutOffTheNextTry)
+{
+  use_local_server (false);
+  http_limits_t many = limits ();
+  many.pipelined_requests = 32;
+  http_server_set_limits (a->callers, &many, 0);
+  placement_set_unreachable (a->placement, peer_set_own_vm (a->peers),
+                             loop.now_us);
+  caller = std::make_unique<Caller> (http_server_port (a->callers));
+  caller->send (timed_request ("GET", "/read/1", "first", LONG_US));
+  ASSERT_TRUE (wait (
+      [&] { return http_server_stats (a->callers).open_exchanges == 1; }));
+  a->serve_own_callers (long_policy);
+  size_t sent_count = 0;
+  int64_t next_us = 0;
+  ASSERT_TRUE (wait ([&] {
+    if (loop.now_us >= next_us && sent_count < 25)
+      {
+        std::string id = "next-" + std::to_string (sent_count++);
+        caller->send (timed_request ("GET", "/unknown/2", id, LONG_US));
+        next_us = loop.now_us + 20 * US_PER_MS;
+      }
+    return !backend->targets.empty () || caller->has ("HTTP/1.1");
+  }));
+  EXPECT_EQ (1u, backend->targets.size ()) << caller->got;
+  EXPECT_LT (sent_count, 25u);
+}
+
 /* --- an overdue reply is looked at again -------------------------------- */
 
 /* Two replies are lost, and the retry pool has one token.  Once other requests
