tests: keep the port of a server that has stopped listening

FaultAfterRequest.ReadIsAnsweredOnce/ResetAndServerDown failed once in a run of all mesh tests beside builds, and in 1 of 14 processes that ran it side by side: the read got 401 key-unknown. The server's port was free after its listener had closed, and another test's sidecar had taken it; the read was sent there. RawServer now holds its port. The suite passes in ten processes side by side.

--- a/tests/mesh_kept_test.cc
+++ b/tests/mesh_kept_test.cc
@@ -47,6 +47,7 @@
   typedef std::function<void (Connection *, const std::string &)> handler_t;
 
   loop_t *loop;
+  HeldPort held; /* no other process listens there after stop_listening */
   ev_io acceptor;
   std::vector<std::unique_ptr<Connection>> connections;
   /* Complete requests, by attempt ID.  */
@@ -56,7 +57,7 @@
   explicit RawServer (loop_t *loop) : loop (loop)
   {
     error_info_t error = {};
-    int fd = loop_listen (loopback (), &error);
+    int fd = loop_listen (loopback (held.port), &error);
     EXPECT_GE (fd, 0) << error.message;
     ev_io_init (&acceptor, on_acceptable, fd, EV_READ);
     acceptor.data = this;
