--- a/tests/mesh_pipeline_test.cc
+++ b/tests/mesh_pipeline_test.cc
@@ -387,7 +387,8 @@
   use_local_server (true);
   answer_all_but_lost ();
   double &mean_run_us
-      = a->entry->route_timings[entry_timing_slot (a->entry, "read")].mean_run_us;
+      = a->entry->route_timings[entry_timing_slot (a->entry, "read")]
+            .mean_run_us;
   mean_run_us = 30.0 * US_PER_MS;
   Caller one (http_server_port (a->callers));
   one.send (timed_request ("GET", "/read/lost", "lost-1", LONG_US));
