--- a/src/edge/http_connection.c
+++ b/src/edge/http_connection.c
@@ -152,7 +152,7 @@
 /* Records what the connection still owes, and what of its input is not
    handled.  */
 static void
-record_debts (http_connection_t *connection)
+record_unfinished (http_connection_t *connection)
 {
   http_close_report_t *report = &connection->close_report;
   const http_exchange_t *first = connection->first_exchange;
@@ -192,7 +192,7 @@
   connection->closed = true;
   if (!connection->lingering)
     record_close_reason (connection, reason);
-  record_debts (connection);
+  record_unfinished (connection);
   ev_io_stop (server->loop->ev, &connection->reader);
   ev_io_stop (server->loop->ev, &connection->writer);
   loop_cancel (server->loop, &connection->flush_task);
