--- a/src/edge/http_connection.c
+++ b/src/edge/http_connection.c
@@ -100,9 +100,9 @@
       += report->unanswered_requests;
 }
 
-/* Whether the close may have cost the caller a response.  What a caller left
-   unread or incomplete when it ended the connection itself, it does not
-   expect one for.  */
+/* Whether the close may have cost the caller a response.  A caller that ends
+   the connection itself expects none to a request that was left incomplete or
+   unread.  */
 static bool
 is_reported (const http_close_report_t *report)
 {
@@ -118,7 +118,7 @@
              || report->unparsed_bytes > 0 || report->partly_read);
 }
 
-/* Counts the close, and reports it if need be.  */
+/* Counts the close, and reports one that may have cost a response.  */
 static void
 report_close (http_connection_t *connection)
 {
@@ -149,7 +149,7 @@
             : server->limits.idle_timeout_us;
 }
 
-/* Records what the connection still owes, and what of its input is not
+/* Records which requests have no complete response, and which input was not
    handled.  */
 static void
 record_unfinished (http_connection_t *connection)
