Look up the sidecars of an account by binary search

Each report of another sidecar walked the list of all sidecars of the account and that of all members, so that the reports of a period cost the square of their number.

--- a/src/mesh/quota.c
+++ b/src/mesh/quota.c
@@ -92,14 +92,17 @@
   double demand_per_s;
   double reported_demand_per_s;
   double previous_reported_demand_per_s;
-  peer_account_t *peers;
+  peer_account_t *peers; /* ordered by vm */
   size_t peer_count;
 } account_t;
 
-typedef struct unreachable_member_t
+/* Another sidecar that has reported or become unreachable.  */
+typedef struct member_t
 {
   vm_id_t vm;
-} unreachable_member_t;
+  bool reporting; /* has sent a report since the start */
+  bool unreachable;
+} member_t;
 
 struct quota_t
 {
@@ -109,11 +112,11 @@
   /* Hash table of 2 * account_capacity indices plus 1 into accounts, by hash;
      0 is free.  */
   uint32_t *account_slots;
-  unreachable_member_t *unreachable_members;
+  member_t *members; /* ordered by vm */
+  size_t known_member_count;
   size_t unreachable_member_count;
-  vm_id_t *reporting_members; /* sent a report since the start */
   size_t reporting_member_count;
-  uint32_t member_count;
+  uint32_t member_count;        /* in the fleet, this sidecar included */
   uint32_t periods_since_start; /* at most STARTUP_PERIODS_MAX */
   int64_t last_tick_us;
   int64_t window_us;
@@ -145,8 +148,7 @@
     free (quota->accounts[i].peers);
   free (quota->accounts);
   free (quota->account_slots);
-  free (quota->unreachable_members);
-  free (quota->reporting_members);
+  free (quota->members);
   free (quota);
 }
 
@@ -226,13 +228,79 @@
   return account;
 }
 
+/* Returns the index of the first of COUNT elements of SIZE bytes, which begin
+   with a vm_id_t and are ordered by it, whose VM is not below VM.  */
+static size_t
+find_vm (const void *elements, size_t count, size_t size, vm_id_t vm)
+{
+  size_t low = 0;
+  while (low < count)
+    {
+      size_t middle = low + (count - low) / 2;
+      vm_id_t found;
+      memcpy (&found, (const char *)elements + middle * size, sizeof found);
+      if (found < vm)
+        low = middle + 1;
+      else
+        count = middle;
+    }
+  return low;
+}
+
+/* Makes room for one more element of SIZE bytes at INDEX.  Returns ELEMENTS,
+   which may have moved.  */
+static void *
+insert_element (void *elements, size_t *count, size_t size, size_t index)
+{
+  char *grown = realloc (elements, (*count + 1) * size);
+  if (grown == NULL)
+    abort ();
+  memmove (grown + (index + 1) * size, grown + index * size,
+           (*count - index) * size);
+  ++*count;
+  return grown;
+}
+
+static void
+remove_element (void *elements, size_t *count, size_t size, size_t index)
+{
+  --*count;
+  memmove ((char *)elements + index * size,
+           (char *)elements + (index + 1) * size, (*count - index) * size);
+}
+
+/* Returns the member, or NULL if it is not known.  */
+static member_t *
+find_member (const quota_t *quota, vm_id_t vm)
+{
+  size_t index = find_vm (quota->members, quota->known_member_count,
+                          sizeof *quota->members, vm);
+  return index < quota->known_member_count && quota->members[index].vm == vm
+             ? &quota->members[index]
+             : NULL;
+}
+
+static member_t *
+find_or_add_member (quota_t *quota, vm_id_t vm)
+{
+  member_t *member = find_member (quota, vm);
+  if (member != NULL)
+    return member;
+  size_t index = find_vm (quota->members, quota->known_member_count,
+                          sizeof *quota->members, vm);
+  quota->members = insert_element (quota->members, &quota->known_member_count,
+                                   sizeof *quota->members, index);
+  quota->members[index] = (member_t){ .vm = vm };
+  return &quota->members[index];
+}
+
 static bool
 is_unreachable (const quota_t *quota, vm_id_t vm)
 {
-  for (size_t i = 0; i < quota->unreachable_member_count; i++)
-    if (quota->unreachable_members[i].vm == vm)
-      return true;
-  return false;
+  if (quota->unreachable_member_count == 0)
+    return false;
+  const member_t *member = find_member (quota, vm);
+  return member != NULL && member->unreachable;
 }
 
 /* Part of all sidecars that is reachable, this one included.  */
@@ -358,6 +426,13 @@
                        + window_remaining (account) * LOW_DEMAND_SHARE;
 }
 
+/* Requests that this sidecar has admitted since the period began.  */
+static double
+admitted_in_period (const account_t *account)
+{
+  return (int32_t)(account->admitted_count - account->admitted_count_at_tick);
+}
+
 /* Estimates the requests that the others admitted in the last period but not
    reported yet: as many as arrived if demand was low, else as many as they
    admitted per period on average.  */
@@ -496,8 +571,7 @@
 static void
 close_period (const quota_t *quota, account_t *account, double period_s)
 {
-  double admitted
-      = (int32_t)(account->admitted_count - account->admitted_count_at_tick);
+  double admitted = admitted_in_period (account);
   account->admitted_count_at_tick = account->admitted_count;
   account->admitted_per_s = moving_average (account->admitted_per_s,
                                             admitted / period_s, period_s);
@@ -568,16 +642,14 @@
 static peer_account_t *
 find_or_add_peer (account_t *account, vm_id_t vm)
 {
-  for (size_t i = 0; i < account->peer_count; i++)
-    if (account->peers[i].vm == vm)
-      return &account->peers[i];
-  account->peers = realloc (account->peers, (account->peer_count + 1)
-                                                * sizeof *account->peers);
-  if (account->peers == NULL)
-    abort ();
-  peer_account_t *peer = &account->peers[account->peer_count++];
-  *peer = (peer_account_t){ .vm = vm };
-  return peer;
+  size_t index = find_vm (account->peers, account->peer_count,
+                          sizeof *account->peers, vm);
+  if (index < account->peer_count && account->peers[index].vm == vm)
+    return &account->peers[index];
+  account->peers = insert_element (account->peers, &account->peer_count,
+                                   sizeof *account->peers, index);
+  account->peers[index] = (peer_account_t){ .vm = vm };
+  return &account->peers[index];
 }
 
 void
@@ -604,45 +676,22 @@
   peer->demand_per_s = report->demand_per_s;
 }
 
-static void
-record_reporting_member (quota_t *quota, vm_id_t vm)
-{
-  for (size_t i = 0; i < quota->reporting_member_count; i++)
-    if (quota->reporting_members[i] == vm)
-      return;
-  quota->reporting_members = realloc (quota->reporting_members,
-                                      (quota->reporting_member_count + 1)
-                                          * sizeof *quota->reporting_members);
-  if (quota->reporting_members == NULL)
-    abort ();
-  quota->reporting_members[quota->reporting_member_count++] = vm;
-}
-
 void
 quota_set_unreachable (quota_t *quota, vm_id_t vm, bool unreachable)
 {
-  if (!unreachable)
-    record_reporting_member (quota, vm);
-  for (size_t i = 0; i < quota->unreachable_member_count; i++)
-    if (quota->unreachable_members[i].vm == vm)
-      {
-        if (!unreachable)
-          {
-            quota->unreachable_members[i]
-                = quota
-                      ->unreachable_members[--quota->unreachable_member_count];
-            update_usable_shares (quota);
-          }
-        return;
-      }
-  if (!unreachable)
+  member_t *member = find_or_add_member (quota, vm);
+  if (!unreachable && !member->reporting)
+    {
+      member->reporting = true;
+      quota->reporting_member_count++;
+    }
+  if (member->unreachable == unreachable)
     return;
-  quota->unreachable_members = realloc (
-      quota->unreachable_members, (quota->unreachable_member_count + 1)
-                                      * sizeof *quota->unreachable_members);
-  if (quota->unreachable_members == NULL)
-    abort ();
-  quota->unreachable_members[quota->unreachable_member_count++].vm = vm;
+  member->unreachable = unreachable;
+  if (unreachable)
+    quota->unreachable_member_count++;
+  else
+    quota->unreachable_member_count--;
   update_usable_shares (quota);
 }
 
@@ -650,16 +699,18 @@
 quota_remove_member (quota_t *quota, vm_id_t vm)
 {
   quota_set_unreachable (quota, vm, false);
-  for (size_t i = 0; i < quota->reporting_member_count; i++)
-    if (quota->reporting_members[i] == vm)
-      quota->reporting_members[i]
-          = quota->reporting_members[--quota->reporting_member_count];
+  const member_t *member = find_member (quota, vm);
+  quota->reporting_member_count--;
+  remove_element (quota->members, &quota->known_member_count,
+                  sizeof *quota->members, (size_t)(member - quota->members));
   for (size_t i = 0; i < quota->account_count; i++)
     {
       account_t *account = &quota->accounts[i];
-      for (size_t j = 0; j < account->peer_count; j++)
-        if (account->peers[j].vm == vm)
-          account->peers[j] = account->peers[--account->peer_count];
+      size_t index = find_vm (account->peers, account->peer_count,
+                              sizeof *account->peers, vm);
+      if (index < account->peer_count && account->peers[index].vm == vm)
+        remove_element (account->peers, &account->peer_count,
+                        sizeof *account->peers, index);
     }
 }
 
