Count the first report of a sidecar on an account

The first report on an account from a sidecar was left out, as it may count requests from long ago. Each sidecar that receives the first request of an account reports that way, so up to one request per sidecar was admitted and never counted by the others: an overrun that grows with their number. Now as many are counted as the averaged demand of the report stands for.

--- a/src/mesh/quota.c
+++ b/src/mesh/quota.c
@@ -652,6 +652,12 @@
   return &account->peers[index];
 }
 
+static uint32_t
+min_u32 (uint32_t a, uint32_t b)
+{
+  return a < b ? a : b;
+}
+
 void
 quota_apply_report (quota_t *quota, vm_id_t vm, uint64_t incarnation,
                     const quota_report_t *report)
@@ -664,11 +670,14 @@
   /* A sidecar counts the requests that it has admitted from its start.  After
      a restart the count begins at 0, so all of it is newly admitted.  The
      first report from a sidecar may count requests that were admitted long
-     ago, so its count is left out.  */
-  uint32_t newly_admitted = is_same_incarnation
-                                ? report->admitted_count - peer->admitted_count
-                            : peer->incarnation != 0 ? report->admitted_count
-                                                     : 0;
+     ago; at most those of its average demand are taken for new.  */
+  uint32_t newly_admitted = report->admitted_count;
+  if (is_same_incarnation)
+    newly_admitted -= peer->admitted_count;
+  else if (peer->incarnation == 0)
+    newly_admitted = min_u32 (
+        newly_admitted,
+        (uint32_t)ceil (report->demand_per_s * RATE_AVERAGE_US / US_PER_S));
   peer->incarnation = incarnation;
   peer->admitted_count = report->admitted_count;
   peer->admitted_since_tick += newly_admitted;
