End low demand within the period in which a surge is reported

While the demand of an account is low, each sidecar may admit what arrives. Now the requests that the others report as admitted count at once: above the bound of a period of low demand, the allowance falls to the share by demand.

mesh_quota_test, most in 5 s of 1478 allowed: 77 sidecars 1486 before, 1348 after; 300: 1379 and 1316. Without the check inside the period, only at its end: 1417 and 1486.

Weighed: a cap of each sidecar's allowance to its share of what is left.

--- a/src/mesh/quota.c
+++ b/src/mesh/quota.c
@@ -85,6 +85,11 @@
   /* Whether the fleet's demand was within the bound that LOW_DEMAND_SHARE sets
      when the period began.  */
   bool demand_is_low;
+  /* Bound of what the fleet may admit in a period in which demand is low.  */
+  double low_demand_max;
+  double share_allowance;          /* of the period, by share of the demand */
+  double heard_admitted;           /* by others, reported in this period */
+  double last_admitted;            /* by all, reported in the last period */
   uint32_t arrived_count;          /* in this period */
   uint32_t admitted_count;         /* since the start */
   uint32_t admitted_count_at_tick; /* at the end of the last period */
@@ -417,13 +422,14 @@
                                      % account->period_count];
 }
 
-static bool
-is_demand_low (const account_t *account, double demand)
+/* Returns the most that the fleet may admit in a period of low demand.  */
+static double
+low_demand_bound (const account_t *account)
 {
   double mean_admitted_per_period
       = account->window_admitted / account->period_count;
-  return demand <= mean_admitted_per_period
-                       + window_remaining (account) * LOW_DEMAND_SHARE;
+  return mean_admitted_per_period
+         + window_remaining (account) * LOW_DEMAND_SHARE;
 }
 
 /* Requests that this sidecar has admitted since the period began.  */
@@ -433,6 +439,23 @@
   return (int32_t)(account->admitted_count - account->admitted_count_at_tick);
 }
 
+/* Ends the low demand if more than its bound is known to have been admitted in
+   this period.  A surge reaches all sidecars at once; waiting for the next
+   period, and for the average demand to follow, would let each of them spend
+   for longer what is left for all.  */
+static void
+check_low_demand (account_t *account)
+{
+  if (!account->demand_is_low
+      || admitted_in_period (account) + account->heard_admitted
+             <= account->low_demand_max)
+    return;
+  account->demand_is_low = false;
+  account->allowance
+      = fmin (account->allowance,
+              account->share_allowance - admitted_in_period (account));
+}
+
 /* Estimates the requests that the others admitted in the last period but not
    reported yet: as many as arrived if demand was low, else as many as they
    admitted per period on average.  */
@@ -483,8 +506,12 @@
   double fleet_allowance
       = window_expiring (account)
         + (remaining > 0 ? remaining * PERIOD_SPEND_SHARE : remaining);
+  account->low_demand_max = low_demand_bound (account);
+  /* In a surge, the average demand is behind what is admitted.  */
+  double largest = fmax (demand_per_period, account->last_admitted);
   account->demand_is_low
-      = !is_starting_up (quota) && is_demand_low (account, demand_per_period);
+      = !is_starting_up (quota) && largest <= account->low_demand_max;
+  account->share_allowance = 0;
   if (fleet_allowance <= 0)
     return 0;
   if (is_starting_up (quota))
@@ -493,14 +520,16 @@
       = fleet_demand.reported_total_per_s / fmax (1, quota->member_count);
   double own_demand
       = fmax (account->reported_demand_per_s, mean_per_s) * period_s;
-  double share = fleet_allowance * own_share (quota, &fleet_demand);
+  account->share_allowance
+      = fleet_allowance * own_share (quota, &fleet_demand);
   if (account->demand_is_low)
-    return fmax (share,
+    return fmax (account->share_allowance,
                  own_demand + LOW_DEMAND_DEVIATIONS * sqrt (own_demand) + 1);
   double receivers = fmin (quota->member_count * RECEIVERS_MEMBER_SHARE,
-                           demand_per_period * RECEIVERS_DEMAND_FACTOR);
+                           largest * RECEIVERS_DEMAND_FACTOR);
   double one_request_probability = fleet_allowance / fmax (1, receivers);
-  return fmax (share, draw < one_request_probability ? 1 : 0);
+  return fmax (account->share_allowance,
+               draw < one_request_probability ? 1 : 0);
 }
 
 /* Takes the whole limit as admitted, evenly over the window.  */
@@ -586,6 +615,8 @@
           period_s);
       peer->admitted_since_tick = 0;
     }
+  account->last_admitted = admitted;
+  account->heard_admitted = 0;
   /* Sidecars that have sent no report yet may have admitted requests that are
      not known here.  */
   if (is_starting_up (quota))
@@ -683,6 +714,8 @@
   peer->admitted_since_tick += newly_admitted;
   peer->previous_demand_per_s = peer->demand_per_s;
   peer->demand_per_s = report->demand_per_s;
+  account->heard_admitted += (int32_t)newly_admitted;
+  check_low_demand (account);
 }
 
 void
