Let the demand of a silent sidecar fall

A sidecar reports a change of demand above a fixed minimum. Demand that fell slowly after a single request was left below that minimum at its old value, until all demands are sent every 16 s. The sum over all sidecars grew with their number: an account at 0.6 of a small limit counted as far above it, and 0.34 of its requests were refused at 300 sidecars, 0.24 at 77 at 0.8 of the limit. Both sides now let the demand fall like an average without arrivals once no report was sent for two periods.

The allowance for chance is rounded up, as two requests of a small account may arrive at one sidecar in a period; the overstated demand had hidden that.

--- a/src/mesh/quota.c
+++ b/src/mesh/quota.c
@@ -13,6 +13,10 @@
   RATE_AVERAGE_US = US_PER_S, /* time over which rates are averaged */
   /* After a start, until demands are averaged and links are up again.  */
   STARTUP_PERIODS_MIN = US_PER_S / QUOTA_PERIOD_US,
+  /* Periods without a report of another sidecar, after which its demand is
+     taken to fall as an average without arrivals does.  Reports to other zones
+     are sent in every second period.  */
+  SILENT_PERIODS_MAX = 2,
   /* Periods after which members that have sent no report are no longer waited
      for: they have left without notice.  */
   STARTUP_PERIODS_MAX = 5 * US_PER_S / QUOTA_PERIOD_US,
@@ -65,6 +69,7 @@
   double demand_per_s;
   double previous_demand_per_s; /* by the report before the last */
   double admitted_per_s;        /* averaged */
+  uint32_t silent_periods;      /* since the last report */
 } peer_account_t;
 
 typedef struct account_t
@@ -90,6 +95,7 @@
   double share_allowance;          /* of the period, by share of the demand */
   double heard_admitted;           /* by others, reported in this period */
   double last_admitted;            /* by all, reported in the last period */
+  uint32_t silent_periods;         /* since this sidecar's last report */
   uint32_t arrived_count;          /* in this period */
   uint32_t admitted_count;         /* since the start */
   uint32_t admitted_count_at_tick; /* at the end of the last period */
@@ -524,7 +530,8 @@
       = fleet_allowance * own_share (quota, &fleet_demand);
   if (account->demand_is_low)
     return fmax (account->share_allowance,
-                 own_demand + LOW_DEMAND_DEVIATIONS * sqrt (own_demand) + 1);
+                 ceil (own_demand + LOW_DEMAND_DEVIATIONS * sqrt (own_demand))
+                     + 1);
   double receivers = fmin (quota->member_count * RECEIVERS_MEMBER_SHARE,
                            largest * RECEIVERS_DEMAND_FACTOR);
   double one_request_probability = fleet_allowance / fmax (1, receivers);
@@ -596,6 +603,17 @@
   return average + (sample - average) * weight;
 }
 
+/* Updates the demand of a sidecar that has sent no report in the last period:
+   without arrivals the average that it would report falls.  */
+static void
+decay_silent_demand (peer_account_t *peer, double period_s)
+{
+  if (++peer->silent_periods <= SILENT_PERIODS_MAX)
+    return;
+  peer->demand_per_s = moving_average (peer->demand_per_s, 0, period_s);
+  peer->previous_demand_per_s = peer->demand_per_s;
+}
+
 /* Adds what all sidecars admitted in the last period to the window.  */
 static void
 close_period (const quota_t *quota, account_t *account, double period_s)
@@ -614,6 +632,7 @@
           peer->admitted_per_s, (int32_t)peer->admitted_since_tick / period_s,
           period_s);
       peer->admitted_since_tick = 0;
+      decay_silent_demand (peer, period_s);
     }
   account->last_admitted = admitted;
   account->heard_admitted = 0;
@@ -628,6 +647,15 @@
   account->admitted_by_period[account->newest_period] = admitted;
 }
 
+/* Updates what the others take this sidecar's demand for, as they do.  */
+static void
+decay_reported_demand (account_t *account, double period_s)
+{
+  if (++account->silent_periods > SILENT_PERIODS_MAX)
+    account->reported_demand_per_s
+        = moving_average (account->reported_demand_per_s, 0, period_s);
+}
+
 void
 quota_tick (quota_t *quota, int64_t now_us, double draw, bool report_all,
             quota_report_callback_t callback, void *ctx)
@@ -661,7 +689,11 @@
         }
       account->previous_reported_demand_per_s = account->reported_demand_per_s;
       if (!should_report)
-        continue;
+        {
+          decay_reported_demand (account, period_s);
+          continue;
+        }
+      account->silent_periods = 0;
       quota_report_t report
           = { account->hash, account->demand_per_s, account->admitted_count };
       account->reported_demand_per_s = account->demand_per_s;
@@ -714,6 +746,7 @@
   peer->admitted_since_tick += newly_admitted;
   peer->previous_demand_per_s = peer->demand_per_s;
   peer->demand_per_s = report->demand_per_s;
+  peer->silent_periods = 0;
   account->heard_admitted += (int32_t)newly_admitted;
   check_low_demand (account);
 }
