Give a refusal by the HTTP server the deadline of its caller

Callers saw nothing: a request that the HTTP server itself refuses (400, 408, 413, 431, 503) had no deadline, so its response waited behind a pipelined request whose reply was lost until that one's own time was over, while the caller of the refused one had long gone. The handler now reads the time-out from what has arrived of the head, and the request before it ends in time, as for any other response.

--- a/src/edge/backend_watch.c
+++ b/src/edge/backend_watch.c
@@ -165,7 +165,8 @@
 http_handler_t
 backend_watch_handler (backend_watch_t *watch)
 {
-  return (http_handler_t){ on_request, ignore_caller_gone, NULL, NULL, watch };
+  return (http_handler_t){ on_request, ignore_caller_gone, NULL, NULL, NULL,
+                           watch };
 }
 
 /* --- health checks ----------------------------------------------------- */
--- a/src/edge/entry_point.c
+++ b/src/edge/entry_point.c
@@ -33,6 +33,16 @@
   return false;
 }
 
+/* Returns the time that FIELD says its caller waits, or 0.  */
+static int64_t
+read_timeout_us (const fields_t *fields, const field_t *field)
+{
+  char text[32];
+  return field_copy_value (fields, field, text, sizeof text)
+             ? strtoll (text, NULL, 10) * US_PER_MS
+             : 0;
+}
+
 /* Returns the header fields that the sidecar uses, and copies the fields to
    forward into the exchange.  */
 static parsed_request_t
@@ -42,7 +52,6 @@
   const dialect_t *dialect = exchange->entry->deps.dialect;
   const fields_t *fields = &exchange->http->fields;
   bool has_connection_field = false;
-  char text[32];
 
   for (uint32_t i = 0; i < fields->count; i++)
     {
@@ -57,8 +66,7 @@
                                   sizeof exchange->attempt_id);
           break;
         case REQUEST_FIELD_TIMEOUT:
-          if (field_copy_value (fields, field, text, sizeof text))
-            parsed.timeout_us = strtoll (text, NULL, 10) * US_PER_MS;
+          parsed.timeout_us = read_timeout_us (fields, field);
           continue;
         case REQUEST_FIELD_API_KEY:
           parsed.key = field;
@@ -349,6 +357,26 @@
     exchange_on_response_behind (exchange);
 }
 
+static int64_t
+refused_deadline_us (void *ctx, const http_exchange_t *http)
+{
+  const entry_point_t *entry = ctx;
+  const fields_t *fields = &http->fields;
+  uint32_t complete = fields->count;
+  if (http->method == NULL && complete > 0)
+    complete--;
+  for (uint32_t i = 0; i < complete; i++)
+    {
+      const field_t *field = &fields->items[i];
+      if (entry->deps.dialect->request_field_role (fields, field)
+          != REQUEST_FIELD_TIMEOUT)
+        continue;
+      int64_t timeout_us = read_timeout_us (fields, field);
+      return timeout_us > 0 ? http->first_byte_us + timeout_us : 0;
+    }
+  return 0;
+}
+
 /* ----------------------------------------------------------------------- */
 
 entry_point_t *
@@ -406,8 +434,8 @@
 http_handler_t
 entry_handler (entry_point_t *entry)
 {
-  return (http_handler_t){ on_request, on_caller_gone, on_drained,
-                           on_response_behind, entry };
+  return (http_handler_t){ on_request,         on_caller_gone,      on_drained,
+                           on_response_behind, refused_deadline_us, entry };
 }
 
 entry_stats_t
--- a/src/edge/http_reader.c
+++ b/src/edge/http_reader.c
@@ -15,6 +15,7 @@
 void
 connection_refuse_request (http_connection_t *connection, int status)
 {
+  const http_handler_t *handler = &connection->server->handler;
   http_exchange_t *exchange = connection->incoming;
   if (exchange == NULL)
     exchange = connection_new_exchange (connection);
@@ -23,6 +24,9 @@
   connection->server->stats.malformed_requests++;
   connection->server->stats.open_exchanges++;
   exchange->close_after = true;
+  if (handler->refused_deadline_us != NULL)
+    exchange->deadline_us
+        = handler->refused_deadline_us (handler->ctx, exchange);
   append_exchange (connection, exchange);
   http_respond (exchange, status, NULL, 0, NULL, 0);
 }
@@ -126,11 +130,11 @@
   bool has_length
       = !(parser->flags & F_CHUNKED) && parser->content_length != UINT64_MAX;
 
+  exchange->method = http_method_str ((enum http_method)parser->method);
   if (!is_head_valid (exchange, parser))
     return stop_parsing (connection, 400);
   if (has_length && is_body_too_large (connection, parser->content_length))
     return stop_parsing (connection, 413);
-  exchange->method = http_method_str ((enum http_method)parser->method);
   exchange->no_response_body = parser->method == HTTP_HEAD;
   exchange->is_http_1_0 = parser->http_major == 1 && parser->http_minor == 0;
   /* In HTTP/1.0, the end of the connection may mark the end of a response.  */
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -48,6 +48,10 @@
      from within the function that completed that response, so the handler must
      not respond here.  May be NULL.  */
   void (*response_behind) (void *ctx, http_exchange_t *exchange);
+  /* The server itself refuses a request.  Returns when its caller stops
+     waiting, or 0 if that is not known.  The method is NULL if the head has not
+     been read completely; the last field may be cut off then.  May be NULL.  */
+  int64_t (*refused_deadline_us) (void *ctx, const http_exchange_t *exchange);
   void *ctx; /* borrowed */
 } http_handler_t;
 
@@ -76,7 +80,7 @@
 
 struct http_exchange_t
 {
-  const char *method; /* static storage */
+  const char *method; /* static storage; NULL until the head is read */
   bytes_t target;     /* NUL-terminated path and query */
   fields_t fields;
   bytes_t body;
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -638,10 +638,11 @@
   http_handler_t caller_handler = entry_handler (sidecar->entry);
   http_handler_t announcement_handler
       = backend_watch_handler (sidecar->backend_watch);
-  http_handler_t readiness_handler
-      = { on_readiness_request, ignore_caller_gone, NULL, NULL, sidecar };
+  http_handler_t readiness_handler = {
+    on_readiness_request, ignore_caller_gone, NULL, NULL, NULL, sidecar
+  };
   http_handler_t metrics_handler
-      = { on_metrics_request, ignore_caller_gone, NULL, NULL, sidecar };
+      = { on_metrics_request, ignore_caller_gone, NULL, NULL, NULL, sidecar };
 
   sidecar->caller_server = http_server_new (loop, settings->callers, &limits,
                                             &caller_handler, error);
--- a/tests/mesh_pipeline_test.cc
+++ b/tests/mesh_pipeline_test.cc
@@ -323,6 +323,47 @@
       << caller->got;
 }
 
+/* Refusals by the HTTP server, by what is wrong with the request.  */
+struct ServerRefusalRow
+{
+  const char *name;
+  std::string fields; /* that follow the time-out */
+  const char *status;
+};
+
+class ServerRefusal : public Pipeline,
+                      public testing::WithParamInterface<ServerRefusalRow>
+{
+};
+
+TEST_P (ServerRefusal, ReachesItsCallerBeforeItsDeadline)
+{
+  use_local_server (false);
+  answer_all_but_lost ();
+  run_one_read ();
+  caller = std::make_unique<Caller> (http_server_port (a->callers));
+  caller->send (timed_request ("GET", "/read/1", "lost-1", LONG_US));
+  std::string refused = timed_request ("POST", "/book/2", "refused", SHORT_US);
+  refused.insert (refused.size () - 2, GetParam ().fields);
+  caller->send (refused);
+  EXPECT_TRUE (wait ([&] { return caller->has (GetParam ().status); }))
+      << caller->got;
+}
+
+const ServerRefusalRow server_refusal_rows[] = {
+  { "TwoLengths", "Content-Length: 1\r\nContent-Length: 1\r\n",
+    "HTTP/1.1 400" },
+  { "LargeHead", "Large: " + std::string (100000, 'x') + "\r\n",
+    "HTTP/1.1 431" },
+  { "UnknownCoding", "Transfer-Encoding: other\r\n", "HTTP/1.1 400" },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, ServerRefusal,
+                          testing::ValuesIn (server_refusal_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+
 /* Each response that comes to wait behind a request leaves the time of its
    next try as it is.  */
 TEST_F (Pipeline, ResponsesBehindDoNotPutOffTheNextTry)
--- a/tests/support_edge.h
+++ b/tests/support_edge.h
@@ -208,7 +208,8 @@
   Server (loop_t *loop, const http_limits_t &limits)
   {
     error_info_t error = {};
-    http_handler_t handler = { on_request, on_gone, nullptr, nullptr, this };
+    http_handler_t handler
+        = { on_request, on_gone, nullptr, nullptr, nullptr, this };
     server = http_server_new (loop, loopback (), &limits, &handler, &error);
     EXPECT_NE (nullptr, server) << error.message;
   }
--- a/tests/support_store.c
+++ b/tests/support_store.c
@@ -348,7 +348,7 @@
   error_info_t error = { .kind = ERROR_NONE };
   if (store == NULL)
     abort ();
-  http_handler_t handler = { on_request, on_gone, NULL, NULL, store };
+  http_handler_t handler = { on_request, on_gone, NULL, NULL, NULL, store };
   store->loop = loop;
   store->server
       = http_server_new (loop, (endpoint_addr_t){ INADDR_LOOPBACK, 0 },
--- a/tests/support_world.c
+++ b/tests/support_world.c
@@ -458,7 +458,7 @@
 {
   error_info_t error = { .kind = ERROR_NONE };
   http_handler_t handler
-      = { on_backend_request, on_backend_gone, NULL, NULL, at };
+      = { on_backend_request, on_backend_gone, NULL, NULL, NULL, at };
   at->backend = http_server_new (&at->world->loop, at->backend_addr, &limits,
                                  &handler, &error);
   if (at->backend == NULL)
