Let the allowance of a paused sidecar expire

A sidecar that was paused for seconds went on with the allowance from before, and took the window for what it was then, although the others had spent it meanwhile. An allowance now expires a second after its period began, and a sidecar that was paused for longer shares like one that has just started.

--- a/src/edge/entry_point.c
+++ b/src/edge/entry_point.c
@@ -129,7 +129,8 @@
     return true;
   if (exchange->account[0] != '\0')
     {
-      if (!quota_acquire (entry->deps.quota, exchange->account))
+      if (!quota_acquire (entry->deps.quota, exchange->account,
+                          entry->deps.loop->now_us))
         {
           exchange_respond_error (exchange, ENTRY_RATE_EXCEEDED, 429);
           return false;
--- a/src/mesh/quota.c
+++ b/src/mesh/quota.c
@@ -570,7 +570,7 @@
 }
 
 bool
-quota_acquire (quota_t *quota, const char *name)
+quota_acquire (quota_t *quota, const char *name, int64_t now_us)
 {
   account_t *account = find_account (quota, name);
   if (account == NULL)
@@ -578,7 +578,8 @@
   account->arrived_count++;
   if (account->rate_per_s > 0)
     {
-      if (account->allowance < 1)
+      if (account->allowance < 1
+          || now_us - quota->last_tick_us > QUOTA_ALLOWANCE_MAX_AGE_US)
         return false;
       account->allowance -= 1;
     }
@@ -656,6 +657,19 @@
         = moving_average (account->reported_demand_per_s, 0, period_s);
 }
 
+/* Sets the state of a sidecar that has just started.  */
+static void
+start_over (quota_t *quota)
+{
+  quota->periods_since_start = 0;
+  quota->reporting_member_count = 0;
+  for (size_t i = 0; i < quota->known_member_count; i++)
+    quota->members[i].reporting = false;
+  for (size_t i = 0; i < quota->account_count; i++)
+    if (quota->accounts[i].rate_per_s > 0)
+      fill_window (&quota->accounts[i]);
+}
+
 void
 quota_tick (quota_t *quota, int64_t now_us, double draw, bool report_all,
             quota_report_callback_t callback, void *ctx)
@@ -663,6 +677,9 @@
   double period_s = (double)(now_us - quota->last_tick_us) / US_PER_S;
   if (quota->last_tick_us == 0 || period_s <= 0)
     period_s = (double)QUOTA_PERIOD_US / US_PER_S;
+  if (quota->last_tick_us > 0
+      && now_us - quota->last_tick_us > QUOTA_ALLOWANCE_MAX_AGE_US)
+    start_over (quota);
   quota->last_tick_us = now_us;
   if (quota->periods_since_start < STARTUP_PERIODS_MAX)
     quota->periods_since_start++;
--- a/src/mesh/quota.h
+++ b/src/mesh/quota.h
@@ -14,7 +14,8 @@
    spends no more than the share for its number of sidecars.  A limit that is
    new to a sidecar, as all are after its start, begins with a full window.
    Until most of the other members have sent a report, a sidecar that was
-   started uses an equal share per member.  */
+   started uses an equal share per member.  So does one that was paused, as it
+   does not know what the others have admitted meanwhile.  */
 
 #include "clock.h"
 #include "types.h"
@@ -22,6 +23,7 @@
 enum
 {
   QUOTA_PERIOD_US = 250 * US_PER_MS,
+  QUOTA_ALLOWANCE_MAX_AGE_US = 4 * QUOTA_PERIOD_US,
   QUOTA_WINDOW_MAX_US = 60 * US_PER_S
 };
 
@@ -39,9 +41,11 @@
 void quota_set_limit (quota_t *quota, const char *account, double rate_per_s,
                       double burst);
 
-/* Counts a request of ACCOUNT that arrives.  Returns whether it is within the
-   limit; it always is for an account without one.  */
-bool quota_acquire (quota_t *quota, const char *account);
+/* Counts a request of ACCOUNT that arrives at NOW_US.  Returns whether it is
+   within the limit; it always is for an account without one.  What this
+   sidecar was allowed expires if quota_tick is not called for
+   QUOTA_ALLOWANCE_MAX_AGE_US, as the others have spent it meanwhile.  */
+bool quota_acquire (quota_t *quota, const char *account, int64_t now_us);
 
 /* Returns the quota acquired for a request that did not run.  */
 void quota_refund (quota_t *quota, const char *account);
--- a/tests/mesh_decisions_test.cc
+++ b/tests/mesh_decisions_test.cc
@@ -268,7 +268,7 @@
     for (int i = 0; i < offered; i++)
       {
         size_t sidecar = rng_below (&rng, entry_count);
-        bool within_limit = quota_acquire (quotas[sidecar], "a");
+        bool within_limit = quota_acquire (quotas[sidecar], "a", now_us);
         count += within_limit;
         refused += !within_limit;
       }
@@ -430,7 +430,8 @@
     quota_set_limit (quota, ("u" + std::to_string (i)).c_str (), 0, 0);
   for (int i = 0; i < ACCOUNT_COUNT; i++)
     for (int j = 0; j < i % 4; j++)
-      EXPECT_TRUE (quota_acquire (quota, ("u" + std::to_string (i)).c_str ()));
+      EXPECT_TRUE (
+          quota_acquire (quota, ("u" + std::to_string (i)).c_str (), 0));
   for (int i = 3; i < ACCOUNT_COUNT; i += 4)
     quota_refund (quota, ("u" + std::to_string (i)).c_str ());
   quota_tick (
@@ -474,7 +475,7 @@
         [] (void *, const quota_report_t *) {}, nullptr);
   quota_set_limit (quota, "a", GetParam ().rate, GetParam ().burst);
   int admitted = 0;
-  while (admitted < 1000 && quota_acquire (quota, "a"))
+  while (admitted < 1000 && quota_acquire (quota, "a", now_us))
     admitted++;
   if (GetParam ().admitted > 1)
     EXPECT_LE (GetParam ().admitted, admitted);
@@ -505,9 +506,9 @@
     quota_tick (
         quota, now_us += QUOTA_PERIOD_US, 0, true,
         [] (void *, const quota_report_t *) {}, &none);
-  ASSERT_TRUE (quota_acquire (quota, "a"));
+  ASSERT_TRUE (quota_acquire (quota, "a", now_us));
   quota_refund (quota, "a");
-  EXPECT_TRUE (quota_acquire (quota, "a"));
+  EXPECT_TRUE (quota_acquire (quota, "a", now_us));
   quota_free (quota);
 }
 
--- a/tests/mesh_quota_test.cc
+++ b/tests/mesh_quota_test.cc
@@ -23,6 +23,7 @@
 const int64_t WINDOW_US = 5 * US_PER_S;
 const int64_t STEP_US = 10 * US_PER_MS;
 const size_t ZONE_COUNT = 4;
+const int64_t SILENCE_US = US_PER_S; /* after which a link is lost */
 /* Sidecars report to the other zones in every second period.  */
 const int CROSS_ZONE_PERIODS = 2;
 
@@ -63,6 +64,23 @@
   Fleet (const Fleet &) = delete;
   Fleet &operator= (const Fleet &) = delete;
 
+  /* Stops the first COUNT sidecars.  Their callers' requests wait.  */
+  void
+  pause (size_t count)
+  {
+    paused_count = count;
+    cut_off_us = now_us + SILENCE_US;
+  }
+  /* The requests that wait are handled before anything that the others have
+     sent.  */
+  void
+  resume ()
+  {
+    size_t count = paused_count;
+    paused_count = 0;
+    for (; waiting_count > 0; waiting_count--)
+      arrive_at (rng_below (&rng, count));
+  }
   /* Requests arrive as a Poisson process at random sidecars.  */
   void
   run (double seconds, double rate_per_s)
@@ -75,7 +93,9 @@
         for (; next_us < now_us;
              next_us += exponential (&rng) / rate_per_s * US_PER_S)
           arrive ();
-        for (size_t i = 0; i < quotas.size (); i++)
+        if (paused_count > 0 && now_us >= cut_off_us)
+          lose_links ();
+        for (size_t i = paused_count; i < quotas.size (); i++)
           if (next_tick_us[i] <= now_us)
             tick (i);
       }
@@ -88,12 +108,32 @@
   std::vector<int> tick_counts;
   std::vector<std::vector<quota_report_t>> pending; /* for other zones */
   std::deque<int64_t> admitted_us;
+  size_t paused_count = 0;
+  int waiting_count = 0;
+  int64_t cut_off_us = 0; /* when the links to paused sidecars are lost */
 
+  void
+  lose_links ()
+  {
+    cut_off_us = INT64_MAX;
+    for (size_t i = paused_count; i < quotas.size (); i++)
+      for (size_t j = 0; j < paused_count; j++)
+        quota_set_unreachable (quotas[i], j + 1, true);
+  }
   void
   arrive ()
+  {
+    size_t sidecar = rng_below (&rng, quotas.size ());
+    if (sidecar < paused_count)
+      waiting_count++;
+    else
+      arrive_at (sidecar);
+  }
+  void
+  arrive_at (size_t sidecar)
   {
     offered++;
-    if (!quota_acquire (quotas[rng_below (&rng, quotas.size ())], "a"))
+    if (!quota_acquire (quotas[sidecar], "a", now_us))
       {
         refused++;
         return;
@@ -109,7 +149,8 @@
   {
     for (size_t to = 0; to < quotas.size (); to++)
       {
-        if (to == from || (to % ZONE_COUNT == from % ZONE_COUNT) != same_zone)
+        if (to == from || to < paused_count
+            || (to % ZONE_COUNT == from % ZONE_COUNT) != same_zone)
           continue;
         for (const quota_report_t &report : reports)
           quota_apply_report (quotas[to], from + 1, 1, &report);
@@ -187,6 +228,48 @@
                             return std::string (row.param.name);
                           });
 
+struct PauseRow
+{
+  const char *name;
+  size_t paused_count; /* of 77 */
+  double seconds;
+  double usual_per_s;
+  double later_per_s; /* once some are paused */
+};
+
+class Pause : public testing::TestWithParam<PauseRow>
+{
+};
+
+/* Some sidecars are paused while the others go on, and then act on what they
+   were allowed before.  */
+TEST_P (Pause, AllowanceOfAPausedSidecarHasExpired)
+{
+  const PauseRow &row = GetParam ();
+  const double RATE = 221;
+  Fleet fleet (77, RATE, RATE);
+  fleet.run (8, row.usual_per_s);
+  fleet.max_in_window = 0;
+  fleet.pause (row.paused_count);
+  fleet.run (row.seconds, row.later_per_s);
+  fleet.resume ();
+  fleet.run (4, row.later_per_s);
+  EXPECT_LE (fleet.max_in_window, max_allowed (RATE, RATE));
+}
+
+const PauseRow pause_rows[] = {
+  { "HalfBriefly", 38, 0.9, 210, 800 },
+  { "HalfForSeconds", 38, 4, 210, 800 },
+  { "MostForSeconds", 70, 4, 210, 800 },
+  { "FewForSeconds", 7, 4, 210, 800 },
+  { "HalfWithoutSurge", 38, 4, 210, 250 },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, Pause, testing::ValuesIn (pause_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+
 struct WithinRow
 {
   const char *name;
