Look up peers by hash and servers by binary search

Each call that is sent, each report and each reply walked the list of all peers and that of all servers, and compared the names of services. The walks grow with the fleet: 96 sidecars send about 300 reports a second to each. Peers are hashed by VM; servers are ordered by VM and refer to their service by index. The search in ordered arrays moves from the quotas to vm_array.

No decision changes: mesh_decisions_test, mesh_quota_test, mesh_edge_test pass as before.

--- a/src/edge/peer.c
+++ b/src/edge/peer.c
@@ -5,9 +5,11 @@
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <xxhash.h>
 
 enum
 {
+  BUCKETS_MIN = 16,
   LINK_ACK_TIMEOUT_MS = 1000, /* for sent data, as PEER_SILENCE_TIMEOUT_US */
   RECONNECT_DELAY_MIN_US = 250 * US_PER_MS, /* doubles with each attempt */
   RECONNECT_DELAY_MAX_US = 4 * US_PER_S,
@@ -20,13 +22,43 @@
   return (endpoint_addr_t){ vm_id_ip (vm), vm_id_port (vm) };
 }
 
+static peer_t **
+bucket_of (const peer_set_t *peers, vm_id_t vm)
+{
+  return &peers->buckets[XXH3_64bits (&vm, sizeof vm)
+                         & (peers->bucket_count - 1)];
+}
+
 peer_t *
 peer_set_find (peer_set_t *peers, vm_id_t vm)
 {
+  if (peers->bucket_count == 0)
+    return NULL;
+  peer_t *peer = *bucket_of (peers, vm);
+  while (peer != NULL && peer->vm != vm)
+    peer = peer->next_in_bucket;
+  return peer;
+}
+
+static void
+add_to_bucket (peer_set_t *peers, peer_t *peer)
+{
+  peer_t **bucket = bucket_of (peers, peer->vm);
+  peer->next_in_bucket = *bucket;
+  *bucket = peer;
+}
+
+static void
+double_buckets (peer_set_t *peers)
+{
+  free (peers->buckets);
+  peers->bucket_count
+      = peers->bucket_count > 0 ? 2 * peers->bucket_count : BUCKETS_MIN;
+  peers->buckets = calloc (peers->bucket_count, sizeof (peer_t *));
+  if (peers->buckets == NULL)
+    abort ();
   for (peer_t *peer = peers->first_peer; peer != NULL; peer = peer->next)
-    if (peer->vm == vm)
-      return peer;
-  return NULL;
+    add_to_bucket (peers, peer);
 }
 
 peer_t *
@@ -41,8 +73,12 @@
   peer->peers = peers;
   peer->vm = vm;
   peer->reconnect_delay_us = RECONNECT_DELAY_MIN_US;
+  if (peers->peer_count == peers->bucket_count)
+    double_buckets (peers);
   peer->next = peers->first_peer;
   peers->first_peer = peer;
+  peers->peer_count++;
+  add_to_bucket (peers, peer);
   return peer;
 }
 
@@ -271,6 +307,7 @@
       peers->first_peer = peer->next;
       free (peer);
     }
+  free (peers->buckets);
   free (peers->block);
   free (peers);
 }
--- a/src/edge/peer_impl.h
+++ b/src/edge/peer_impl.h
@@ -78,6 +78,7 @@
 {
   peer_set_t *peers;
   peer_t *next;
+  peer_t *next_in_bucket;
   vm_id_t vm;
   uint64_t incarnation;
   peer_link_t *active_link; /* carries new calls; NULL while down */
@@ -94,6 +95,10 @@
   vm_id_t own_vm;
   ev_io accept_watcher;
   peer_t *first_peer;
+  /* Hash table of the peers by VM; bucket_count is a power of two, or 0.  */
+  peer_t **buckets;
+  size_t bucket_count;
+  size_t peer_count;
   peer_link_t *links;        /* the newest first */
   peer_link_t *closed_links; /* to be freed by free_closed_task */
   loop_task_t free_closed_task;
--- a/src/mesh/placement.c
+++ b/src/mesh/placement.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "clock.h"
+#include "mesh/vm_array.h"
 
 enum
 {
@@ -26,7 +27,7 @@
 {
   vm_id_t vm;
   uint64_t sidecar_incarnation; /* not used by the placement */
-  char service[NAME_BYTES];
+  uint32_t service_index;
   char server_id[SERVER_ID_BYTES];
   uint32_t server_incarnation; /* counts the changes of server_id */
   uint32_t zone_index;
@@ -44,7 +45,7 @@
   uint32_t zone_count;
   service_t *services;
   size_t service_count;
-  member_t *members;
+  member_t *members; /* ordered by vm */
   size_t member_count;
   int64_t started_us;
 };
@@ -120,26 +121,30 @@
 static member_t *
 find_member (const placement_t *placement, vm_id_t vm)
 {
-  for (size_t i = 0; i < placement->member_count; i++)
-    if (placement->members[i].vm == vm)
-      return &placement->members[i];
-  return NULL;
+  size_t index = vm_array_search (placement->members, placement->member_count,
+                                  sizeof *placement->members, vm);
+  return index < placement->member_count && placement->members[index].vm == vm
+             ? &placement->members[index]
+             : NULL;
 }
 
 static member_t *
-find_or_add_member (placement_t *placement, vm_id_t vm)
+add_member (placement_t *placement, vm_id_t vm, uint32_t service_index)
 {
-  member_t *member = find_member (placement, vm);
-  if (member != NULL)
-    return member;
+  size_t index = vm_array_search (placement->members, placement->member_count,
+                                  sizeof *placement->members, vm);
   placement->members
-      = realloc (placement->members,
-                 (placement->member_count + 1) * sizeof *placement->members);
-  if (placement->members == NULL)
-    abort ();
-  member = &placement->members[placement->member_count++];
-  *member = (member_t){ .vm = vm };
-  return member;
+      = vm_array_insert (placement->members, &placement->member_count,
+                         sizeof *placement->members, index);
+  placement->members[index]
+      = (member_t){ .vm = vm, .service_index = service_index };
+  return &placement->members[index];
+}
+
+static choose_t *
+choose_of (const placement_t *placement, const member_t *member)
+{
+  return placement->services[member->service_index].choose;
 }
 
 static void
@@ -152,20 +157,18 @@
     .out_of_service = !member->accepting,
     .incarnation = member->server_incarnation,
   };
-  choose_set_server (find_or_add_service (placement, member->service)->choose,
-                     &server, now_us);
+  choose_set_server (choose_of (placement, member), &server, now_us);
 }
 
 static void
 apply_load (placement_t *placement, member_t *member,
             const server_load_t *load, int64_t now_us)
 {
-  service_t *service = find_service (placement, member->service);
   member->pressure_permille = load->pressure_permille;
   member->window = load->window;
   member->load_updated_us = now_us;
-  if (service != NULL && load->slowdown_permille > 0)
-    choose_set_slowdown (service->choose, member->vm,
+  if (load->slowdown_permille > 0)
+    choose_set_slowdown (choose_of (placement, member), member->vm,
                          load->slowdown_permille / 1000.0, now_us);
 }
 
@@ -173,22 +176,27 @@
 placement_update_server (placement_t *placement,
                          const placement_server_t *server, int64_t now_us)
 {
-  member_t *member = find_or_add_member (placement, server->vm);
+  uint32_t service_index
+      = (uint32_t)(find_or_add_service (placement, server->service)
+                   - placement->services);
+  member_t *member = find_member (placement, server->vm);
+  bool is_new = member == NULL;
+  if (is_new)
+    member = add_member (placement, server->vm, service_index);
   uint32_t zone_index = find_or_add_zone (placement, server->zone);
-  bool service_changed = strcmp (member->service, server->service) != 0;
+  bool service_changed = member->service_index != service_index;
   bool server_changed = strcmp (member->server_id, server->server_id) != 0;
-  bool changed = service_changed || server_changed
+  bool changed = is_new || service_changed || server_changed
                  || zone_index != member->zone_index
                  || server->slots != member->slots
                  || server->accepting != member->accepting;
 
-  if (service_changed && member->service[0] != '\0')
-    choose_remove_server (
-        find_or_add_service (placement, member->service)->choose, member->vm);
+  if (service_changed)
+    choose_remove_server (choose_of (placement, member), member->vm);
   if (server_changed)
     member->server_incarnation++;
   member->sidecar_incarnation = server->incarnation;
-  snprintf (member->service, sizeof member->service, "%s", server->service);
+  member->service_index = service_index;
   snprintf (member->server_id, sizeof member->server_id, "%s",
             server->server_id);
   member->zone_index = zone_index;
@@ -224,10 +232,10 @@
   member_t *member = find_member (placement, vm);
   if (member == NULL)
     return;
-  service_t *service = find_service (placement, member->service);
-  if (service != NULL)
-    choose_remove_server (service->choose, vm);
-  *member = placement->members[--placement->member_count];
+  choose_remove_server (choose_of (placement, member), vm);
+  vm_array_remove (placement->members, &placement->member_count,
+                   sizeof *placement->members,
+                   (size_t)(member - placement->members));
 }
 
 bool
@@ -266,15 +274,25 @@
     apply_load (placement, member, load, now_us);
 }
 
+static bool
+is_of_service (const placement_t *placement, const member_t *member,
+               const service_t *service)
+{
+  return &placement->services[member->service_index] == service;
+}
+
 bool
 placement_has_other_server (const placement_t *placement,
                             const char *service_name, vm_id_t vm)
 {
+  const service_t *service = find_service (placement, service_name);
+  if (service == NULL)
+    return false;
   for (size_t i = 0; i < placement->member_count; i++)
     {
       const member_t *member = &placement->members[i];
       if (member->accepting && member->vm != vm
-          && strcmp (member->service, service_name) == 0)
+          && is_of_service (placement, member, service))
         return true;
     }
   return false;
@@ -284,17 +302,20 @@
 placement_accepting_count (const placement_t *placement,
                            const char *service_name)
 {
+  const service_t *service = find_service (placement, service_name);
   uint32_t count = 0;
+  if (service == NULL)
+    return 0;
   for (size_t i = 0; i < placement->member_count; i++)
     count += placement->members[i].accepting
-             && strcmp (placement->members[i].service, service_name) == 0;
+             && is_of_service (placement, &placement->members[i], service);
   return count;
 }
 
 /* Mean pressure of the servers of one service, weighted by the window of each:
    servers in a cold start report a high pressure but carry little load.  */
 static double
-mean_pressure (const placement_t *placement, const char *service_name,
+mean_pressure (const placement_t *placement, const service_t *service,
                int64_t now_us)
 {
   double pressure_sum = 0;
@@ -302,7 +323,7 @@
   for (size_t i = 0; i < placement->member_count; i++)
     {
       const member_t *member = &placement->members[i];
-      if (!member->accepting || strcmp (member->service, service_name) != 0
+      if (!member->accepting || !is_of_service (placement, member, service)
           || now_us - member->load_updated_us > PRESSURE_AGE_MAX_US)
         continue;
       uint32_t window = member->window > 0 ? member->window : member->slots;
@@ -320,7 +341,7 @@
   if (service->pressure_updated_us == 0
       || now_us - service->pressure_updated_us > PRESSURE_CACHE_US)
     {
-      service->pressure = mean_pressure (placement, service_name, now_us);
+      service->pressure = mean_pressure (placement, service, now_us);
       service->pressure_updated_us = now_us;
     }
   return service->pressure;
--- a/src/mesh/quota.c
+++ b/src/mesh/quota.c
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include "clock.h"
+#include "mesh/vm_array.h"
 
 enum
 {
@@ -239,53 +240,12 @@
   return account;
 }
 
-/* Returns the index of the first of COUNT elements of SIZE bytes, which begin
-   with a vm_id_t and are ordered by it, whose VM is not below VM.  */
-static size_t
-find_vm (const void *elements, size_t count, size_t size, vm_id_t vm)
-{
-  size_t low = 0;
-  while (low < count)
-    {
-      size_t middle = low + (count - low) / 2;
-      vm_id_t found;
-      memcpy (&found, (const char *)elements + middle * size, sizeof found);
-      if (found < vm)
-        low = middle + 1;
-      else
-        count = middle;
-    }
-  return low;
-}
-
-/* Makes room for one more element of SIZE bytes at INDEX.  Returns ELEMENTS,
-   which may have moved.  */
-static void *
-insert_element (void *elements, size_t *count, size_t size, size_t index)
-{
-  char *grown = realloc (elements, (*count + 1) * size);
-  if (grown == NULL)
-    abort ();
-  memmove (grown + (index + 1) * size, grown + index * size,
-           (*count - index) * size);
-  ++*count;
-  return grown;
-}
-
-static void
-remove_element (void *elements, size_t *count, size_t size, size_t index)
-{
-  --*count;
-  memmove ((char *)elements + index * size,
-           (char *)elements + (index + 1) * size, (*count - index) * size);
-}
-
 /* Returns the member, or NULL if it is not known.  */
 static member_t *
 find_member (const quota_t *quota, vm_id_t vm)
 {
-  size_t index = find_vm (quota->members, quota->known_member_count,
-                          sizeof *quota->members, vm);
+  size_t index = vm_array_search (quota->members, quota->known_member_count,
+                                  sizeof *quota->members, vm);
   return index < quota->known_member_count && quota->members[index].vm == vm
              ? &quota->members[index]
              : NULL;
@@ -297,10 +257,10 @@
   member_t *member = find_member (quota, vm);
   if (member != NULL)
     return member;
-  size_t index = find_vm (quota->members, quota->known_member_count,
-                          sizeof *quota->members, vm);
-  quota->members = insert_element (quota->members, &quota->known_member_count,
-                                   sizeof *quota->members, index);
+  size_t index = vm_array_search (quota->members, quota->known_member_count,
+                                  sizeof *quota->members, vm);
+  quota->members = vm_array_insert (quota->members, &quota->known_member_count,
+                                    sizeof *quota->members, index);
   quota->members[index] = (member_t){ .vm = vm };
   return &quota->members[index];
 }
@@ -722,12 +682,12 @@
 static peer_account_t *
 find_or_add_peer (account_t *account, vm_id_t vm)
 {
-  size_t index = find_vm (account->peers, account->peer_count,
-                          sizeof *account->peers, vm);
+  size_t index = vm_array_search (account->peers, account->peer_count,
+                                  sizeof *account->peers, vm);
   if (index < account->peer_count && account->peers[index].vm == vm)
     return &account->peers[index];
-  account->peers = insert_element (account->peers, &account->peer_count,
-                                   sizeof *account->peers, index);
+  account->peers = vm_array_insert (account->peers, &account->peer_count,
+                                    sizeof *account->peers, index);
   account->peers[index] = (peer_account_t){ .vm = vm };
   return &account->peers[index];
 }
@@ -793,16 +753,16 @@
   quota_set_unreachable (quota, vm, false);
   const member_t *member = find_member (quota, vm);
   quota->reporting_member_count--;
-  remove_element (quota->members, &quota->known_member_count,
-                  sizeof *quota->members, (size_t)(member - quota->members));
+  vm_array_remove (quota->members, &quota->known_member_count,
+                   sizeof *quota->members, (size_t)(member - quota->members));
   for (size_t i = 0; i < quota->account_count; i++)
     {
       account_t *account = &quota->accounts[i];
-      size_t index = find_vm (account->peers, account->peer_count,
-                              sizeof *account->peers, vm);
+      size_t index = vm_array_search (account->peers, account->peer_count,
+                                      sizeof *account->peers, vm);
       if (index < account->peer_count && account->peers[index].vm == vm)
-        remove_element (account->peers, &account->peer_count,
-                        sizeof *account->peers, index);
+        vm_array_remove (account->peers, &account->peer_count,
+                         sizeof *account->peers, index);
     }
 }
 
