Pass over servers whose links are silent

Reports come four times a second within a zone, twice from others, so a link counts as silent after 0.4 s (0.7 s) and its server is picked only if no other accepts. It is still closed after a second.

SilentLink/WithAnother fails when the silence is ignored. Counted in silent_servers_passed_over_total.

--- a/src/edge/entry_place.c
+++ b/src/edge/entry_place.c
@@ -1,5 +1,7 @@
 #include "edge/entry_impl.h"
 
+#include <string.h>
+
 #include "mesh/admission.h"
 
 enum
@@ -10,7 +12,8 @@
   OVERDUE_MIN_US = 200 * US_PER_MS, /* no reply is overdue earlier */
   /* Time between two checks whether an overdue request can be retried now.  */
   OVERDUE_CHECK_INTERVAL_US = 200 * US_PER_MS,
-  RETRY_INTERVAL_US = 50 * US_PER_MS /* between two tries to reach a server */
+  RETRY_INTERVAL_US = 50 * US_PER_MS, /* between two tries to reach a server */
+  SILENT_SERVERS_MAX = 4 /* picks until a server with a silent link is used */
 };
 
 /* Weight of a new run in the moving average of its route's run time.  */
@@ -202,6 +205,37 @@
   return false;
 }
 
+/* Picks a server for the next try.  Servers whose links are silent are passed
+   over while there are others: their VMs may have lost power, which closes
+   their links only later.  */
+static bool
+pick_server (exchange_t *exchange)
+{
+  entry_point_t *entry = exchange->entry;
+  vm_id_t excluded[SERVERS_TRIED_MAX + SILENT_SERVERS_MAX];
+  size_t count = exchange->tried_count;
+  vm_id_t vm;
+  bool found = false;
+  memcpy (excluded, exchange->tried_vms, count * sizeof excluded[0]);
+  for (int i = 0; i < SILENT_SERVERS_MAX
+                  && placement_pick_server (entry->deps.placement,
+                                            exchange->service, excluded, count,
+                                            entry->deps.loop->now_us, &vm);
+       i++)
+    {
+      const peer_t *peer = peer_set_find (entry->deps.peers, vm);
+      bool silent = peer != NULL && peer_is_silent (peer);
+      if (!found || !silent)
+        exchange->vm = vm;
+      found = true;
+      if (!silent)
+        return true;
+      entry->stats.silent_servers_passed_over++;
+      excluded[count++] = vm;
+    }
+  return found;
+}
+
 static void
 add_tried_vm (exchange_t *exchange)
 {
@@ -234,10 +268,7 @@
       exchange_give_up (exchange, ENTRY_DEADLINE_PASSED);
       return;
     }
-  while (exchange->tried_count < SERVERS_TRIED_MAX
-         && placement_pick_server (entry->deps.placement, exchange->service,
-                                   exchange->tried_vms, exchange->tried_count,
-                                   now_us, &exchange->vm))
+  while (exchange->tried_count < SERVERS_TRIED_MAX && pick_server (exchange))
     {
       placement_record_send (entry->deps.placement, exchange->service,
                              exchange->vm);
--- a/src/edge/entry_point.h
+++ b/src/edge/entry_point.h
@@ -132,6 +132,7 @@
   uint64_t placed_local;      /* on this VM */
   uint64_t placed_remote;     /* on other VMs */
   uint64_t placed_cross_zone; /* part of placed_remote: other zones */
+  uint64_t silent_servers_passed_over;
   /* Answered requests by latency.  Bucket I ends below 2^(I+1) us; the last
      one has no end.  */
   uint64_t latency_buckets[ENTRY_LATENCY_BUCKETS];
--- a/src/edge/metrics.c
+++ b/src/edge/metrics.c
@@ -53,6 +53,8 @@
   append_metric (out, "placed_local_total", entry->placed_local);
   append_metric (out, "placed_remote_total", entry->placed_remote);
   append_metric (out, "placed_far_total", entry->placed_cross_zone);
+  append_metric (out, "silent_servers_passed_over_total",
+                 entry->silent_servers_passed_over);
   for (int i = 0; i < ENTRY_END_COUNT; i++)
     append_labelled_metric (out, "requests_total", "end",
                             entry_end_name ((entry_end_t)i), entry->ends[i]);
--- a/src/edge/peer.c
+++ b/src/edge/peer.c
@@ -341,6 +341,17 @@
   return peer->active_link != NULL;
 }
 
+bool
+peer_is_silent (const peer_t *peer)
+{
+  const peer_link_t *link = peer->active_link;
+  /* What arrived since the loop last waited may not have been read yet.  */
+  return link != NULL
+         && peer->peers->loop->previous_now_us - link->last_received_us
+                > (peer->cross_zone ? PEER_SILENT_CROSS_ZONE_US
+                                    : PEER_SILENT_US);
+}
+
 uint64_t
 peer_incarnation (const peer_t *peer)
 {
--- a/src/edge/peer.h
+++ b/src/edge/peer.h
@@ -15,7 +15,11 @@
 enum
 {
   PEER_REPORT_INTERVAL_US = 250 * US_PER_MS,
-  PEER_SILENCE_TIMEOUT_US = 1000 * US_PER_MS /* four report intervals */
+  PEER_SILENCE_TIMEOUT_US = 1000 * US_PER_MS, /* four report intervals */
+  /* A link is silent, but stays open, after this long.  Reports to other
+     availability zones may be sent every second time.  */
+  PEER_SILENT_US = 400 * US_PER_MS,
+  PEER_SILENT_CROSS_ZONE_US = 700 * US_PER_MS
 };
 
 typedef struct peer_set_t peer_set_t;
@@ -92,6 +96,8 @@
 peer_t *peer_set_find (peer_set_t *peers, vm_id_t vm);
 vm_id_t peer_vm (const peer_t *peer);
 bool peer_is_up (const peer_t *peer);
+/* Whether reports of PEER are overdue although its link is still up.  */
+bool peer_is_silent (const peer_t *peer);
 /* Sets whether PEER is in another availability zone.  */
 void peer_mark_cross_zone (peer_t *peer, bool cross_zone);
 bool peer_is_cross_zone (const peer_t *peer);
