Allow for chance in the bound of a period of low demand

In a burst of 1.7, accounts use 0.89 of their limits; the bound is then a third above the mean, which few requests exceed by chance. Two standard deviations belong to the bound.

--- a/src/mesh/quota.c
+++ b/src/mesh/quota.c
@@ -40,6 +40,9 @@
    demand and three standard deviations.  */
 static const double LOW_DEMAND_SHARE = 0.12;
 static const double LOW_DEMAND_DEVIATIONS = 3;
+/* Standard deviations of what the fleet admits per period that belong to its
+   bound.  */
+static const double LOW_DEMAND_BOUND_DEVIATIONS = 2;
 /* Otherwise a sidecar whose share is below one request may still spend one,
    with a probability of the fleet's allowance divided by the number of
    sidecars that receive a request.  This is the upper bound of that number,
@@ -388,14 +391,16 @@
                                      % account->period_count];
 }
 
-/* Returns the most that the fleet may admit in a period of low demand.  */
+/* Returns the most that the fleet may admit in a period of low demand.  Few
+   requests vary more.  */
 static double
 low_demand_bound (const account_t *account)
 {
   double mean_admitted_per_period
       = account->window_admitted / account->period_count;
   return mean_admitted_per_period
-         + window_remaining (account) * LOW_DEMAND_SHARE;
+         + window_remaining (account) * LOW_DEMAND_SHARE
+         + LOW_DEMAND_BOUND_DEVIATIONS * sqrt (mean_admitted_per_period);
 }
 
 /* Requests that this sidecar has admitted since the period began.  */
