--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -49,8 +49,9 @@
      not respond here.  May be NULL.  */
   void (*response_behind) (void *ctx, http_exchange_t *exchange);
   /* The server itself refuses a request.  Returns when its caller stops
-     waiting, or 0 if that is not known.  The method is NULL if the head has not
-     been read completely; the last field may be cut off then.  May be NULL.  */
+     waiting, or 0 if that is not known.  The method is NULL if the head has
+     not been read completely; the last field may be cut off then.  May be
+     NULL.  */
   int64_t (*refused_deadline_us) (void *ctx, const http_exchange_t *exchange);
   void *ctx; /* borrowed */
 } http_handler_t;
