Count a reply that is not in time as its server's failure

It now counts as a failure, and five in a row end the server's share for a second, then for longer, as for errors. Not while the call tree is under pressure: the deadline then passes in queues, and servers must not be taken out for that.

LateServer/WithoutPressure fails without the change.

--- a/src/edge/entry_place.c
+++ b/src/edge/entry_place.c
@@ -425,6 +425,17 @@
   return true;
 }
 
+/* Returns how an attempt counts that is cancelled as the exchange ends with
+   END.  A reply that is not in time is the server's failure, unless requests
+   wait for lack of capacity.  */
+static run_result_t
+cancelled_result (exchange_t *exchange, entry_end_t end)
+{
+  return end == ENTRY_DEADLINE_PASSED && !exchange_is_under_pressure (exchange)
+             ? RUN_FAILED
+             : RUN_CANCELLED;
+}
+
 /* Cancels the attempt and ends the exchange with END.  Aborts the response if
    a part of the reply was passed on.  */
 static void
@@ -437,7 +448,7 @@
     exchange->may_have_run = true;
   exchange_cancel_attempt (exchange);
   if (exchange->step == STEP_SENT)
-    exchange_report_attempt (exchange, RUN_CANCELLED, 0,
+    exchange_report_attempt (exchange, cancelled_result (exchange, end), 0,
                              &(server_load_t){ 0 });
   if (exchange->step != STEP_STREAMING)
     {
