Close after the last response: not before its caller has it

What callers saw: a caller that reads a large last response slowly, and sends more before it has read on, lost the rest of that response to a reset, one second after the response was written.

Cause: after the last response the connection was closed one second later, whether or not the caller had acknowledged all of it. The kernel drops what it has not delivered when bytes arrive on a closed socket, or are unread when it is closed.

Evidence: LastResponse.ReachesACallerThatSendsMoreBeforeItReadsOn with a response of 1 MiB, on the code before: rows CloseAsked and Drain failed, with "caller->reset, Actual: true" and without the end of the response; the two rows of a late loop passed. Now all four pass.

Why it works: the connection is read once more and closed only when all is acknowledged or nothing has moved for the limit of a stalled body (10 s), as an idle connection already was.

--- a/src/edge/http_sweep.c
+++ b/src/edge/http_sweep.c
@@ -2,7 +2,7 @@
 
 enum
 {
-  /* Time for the caller to read the last response and close.  */
+  /* Time for the caller to close after the last response.  */
   LINGER_TIMEOUT_US = 1000 * US_PER_MS,
   /* Time for a connection's next and first request while the server drains.
      A caller may send the first one some time after it connects.  */
@@ -113,6 +113,20 @@
     connection_close (connection, HTTP_CLOSE_UNREAD);
 }
 
+/* Bytes that arrive after the close, or are unread then, make the kernel drop
+   what the caller has not acknowledged.  */
+static void
+check_lingering_connection (http_connection_t *connection)
+{
+  if (no_progress_us (connection) <= LINGER_TIMEOUT_US)
+    return;
+  connection_read (connection);
+  if (!connection->closed
+      && (loop_unacked_bytes (connection->reader.fd) == 0
+          || is_stalled (connection)))
+    connection_close (connection, connection->close_report.reason);
+}
+
 static bool
 is_idle_too_long (const http_connection_t *connection)
 {
@@ -132,10 +146,7 @@
 connection_check_timeouts (http_connection_t *connection)
 {
   if (connection->lingering)
-    {
-      if (no_progress_us (connection) > LINGER_TIMEOUT_US)
-        connection_close (connection, connection->close_report.reason);
-    }
+    check_lingering_connection (connection);
   else if (connection->reading_paused)
     check_paused_connection (connection);
   else if (is_request_overdue (connection))
--- /dev/null
+++ b/tests/mesh_owed_test.cc
@@ -0,0 +1,210 @@
+/* A connection is closed by this side only when each request that was read
+   from it has been answered or refused, and what was sent can still reach its
+   caller.  A close with bytes unread resets the connection, and the kernel
+   then drops the responses that it has not delivered.  */
+
+#include "support_edge.h"
+
+#include <thread>
+
+namespace
+{
+const std::string HELD = "GET /held HTTP/1.1\r\nHost: h\r\n\r\n";
+const std::string LARGE = "GET /large HTTP/1.1\r\nHost: h\r\n\r\n";
+const std::string LAST
+    = "GET /large HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+const std::string POST_HEAD = "POST /body HTTP/1.1\r\nHost: h\r\n";
+const size_t FITS_SOCKET_BYTES = 1 << 20;
+const int64_t LONGER_THAN_LINGER_US = 1300 * US_PER_MS;
+
+/* Leaves requests to /held open, and answers all others.  */
+class Owed : public Loop
+{
+protected:
+  std::unique_ptr<Server> server;
+  std::unique_ptr<Caller> caller;
+  std::vector<http_exchange_t *> held;
+  std::string large;
+
+  void
+  start (const http_limits_t &limits, size_t large_size = 2)
+  {
+    large = std::string (large_size, 'x') + "END";
+    server = std::make_unique<Server> (&loop, limits);
+    server->answer = [this] (http_exchange_t *exchange) {
+      if (strcmp (bytes_data (&exchange->target), "/held") == 0)
+        held.push_back (exchange);
+      else
+        http_respond (exchange, 200, nullptr, 0, large.data (), large.size ());
+    };
+    caller = std::make_unique<Caller> (server->port ());
+    ASSERT_TRUE (wait ([&] { return stats ().connections == 1; }));
+  }
+  void
+  TearDown () override
+  {
+    caller.reset ();
+    server.reset ();
+    Loop::TearDown ();
+  }
+  http_server_stats_t
+  stats ()
+  {
+    return http_server_stats (server->server);
+  }
+  void
+  send_until_read (const std::string &text, size_t request_count)
+  {
+    caller->send (text);
+    ASSERT_TRUE (
+        wait ([&] { return server->targets.size () == request_count; }));
+  }
+  void
+  run_loop_for (int64_t us)
+  {
+    int64_t until_us = loop.now_us + us;
+    ASSERT_TRUE (wait ([&] { return loop.now_us > until_us; }));
+  }
+};
+
+http_limits_t
+patient_limits ()
+{
+  http_limits_t made = limits ();
+  made.body_timeout_us = 10 * US_PER_S;
+  return made;
+}
+
+/* --- refusals and limits behind open requests --------------------------- */
+
+struct BehindRow
+{
+  const char *name;
+  std::string behind; /* sent behind two open requests */
+  const char *refusal;
+  bool late_loop;    /* the loop is late by more than each limit */
+  bool lower_limits; /* a change lowers each limit while they are open */
+};
+
+class Behind : public Owed, public testing::WithParamInterface<BehindRow>
+{
+};
+
+TEST_P (Behind, OpenRequestsAreAnswered)
+{
+  const BehindRow &row = GetParam ();
+  http_limits_t used = limits ();
+  used.total_body_bytes = 500;
+  used.idle_timeout_us = 300 * US_PER_MS;
+  start (used);
+  send_until_read (HELD + HELD, 2);
+  caller->send (row.behind);
+  if (row.lower_limits)
+    {
+      used.header_bytes = 1;
+      used.idle_timeout_us = used.header_timeout_us = used.body_timeout_us
+          = 10 * US_PER_MS;
+      http_server_set_limits (server->server, &used, 0);
+    }
+  if (row.late_loop)
+    std::this_thread::sleep_for (std::chrono::milliseconds (1000));
+  bool is_refused = row.refusal[0] != '\0';
+  ASSERT_TRUE (
+      wait ([&] { return stats ().malformed_requests == is_refused; }));
+  run_loop_for (800 * US_PER_MS);
+  ASSERT_EQ (0, server->gone);
+  ASSERT_EQ (1u, stats ().connections);
+  http_respond (held[1], 200, nullptr, 0, "second", 6);
+  http_respond (held[0], 200, nullptr, 0, "first", 5);
+  ASSERT_TRUE (wait ([&] { return caller->is_over (); }));
+  size_t first = caller->got.find ("first");
+  size_t second = caller->got.find ("second");
+  EXPECT_LT (first, second);
+  EXPECT_NE (std::string::npos, second);
+  EXPECT_NE (std::string::npos, caller->got.find (row.refusal, second));
+  EXPECT_FALSE (caller->reset);
+  for (int i = 0; i < HTTP_CLOSE_REASON_COUNT; i++)
+    EXPECT_EQ (0u, stats ().unanswered_counts[i])
+        << http_close_reason_name ((http_close_reason_t)i);
+}
+
+const BehindRow behind_rows[] = {
+  { "Malformed", "no request\r\n\r\n", " 400 ", false, false },
+  { "HeadTooLarge",
+    "GET / HTTP/1.1\r\nHost: h\r\nA: " + std::string (5000, 'a'), " 431 ",
+    false, false },
+  { "BodyTooLarge", POST_HEAD + "Content-Length: 2000\r\n\r\n", " 413 ", false,
+    false },
+  { "ChunksTooLarge",
+    POST_HEAD + "Transfer-Encoding: chunked\r\n\r\n7d0\r\n"
+        + std::string (2000, 'a'),
+    " 413 ", false, false },
+  { "MemoryOfBodies",
+    POST_HEAD + "Content-Length: 900\r\n\r\n" + std::string (900, 'a'),
+    " 503 ", false, false },
+  { "HeadOverdue", "GET / HTTP/1.1\r\nHost:", " 408 ", false, false },
+  { "HeadOverdueInALateLoop", "GET / HTTP/1.1\r\nHost:", " 408 ", true,
+    false },
+  { "BodyOverdue", POST_HEAD + "Content-Length: 9\r\n\r\nab", " 408 ", false,
+    false },
+  { "Idle", "", "", false, false },
+  { "IdleInALateLoop", "", "", true, false },
+  { "IdleLimitLowered", "", "", false, true },
+  { "IdleLimitLoweredInALateLoop", "", "", true, true },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, Behind, testing::ValuesIn (behind_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+
+/* --- the last response and bytes that follow it ------------------------- */
+
+struct LastRow
+{
+  const char *name;
+  bool drain;     /* makes the response the last one, else the request does */
+  bool late_loop; /* the bytes arrive while the loop does not run */
+};
+
+class LastResponse : public Owed, public testing::WithParamInterface<LastRow>
+{
+};
+
+TEST_P (LastResponse, ReachesACallerThatSendsMoreBeforeItReadsOn)
+{
+  const LastRow &row = GetParam ();
+  start (patient_limits (), FITS_SOCKET_BYTES);
+  if (row.drain)
+    http_server_drain (server->server);
+  send_until_read (row.drain ? LARGE : LAST, 1);
+  ASSERT_TRUE (
+      wait ([&] { return http_server_has_unacked_output (server->server); }));
+  run_loop_for (50 * US_PER_MS);
+  if (row.late_loop)
+    {
+      caller->send (HELD);
+      std::this_thread::sleep_for (
+          std::chrono::microseconds (LONGER_THAN_LINGER_US));
+    }
+  run_loop_for (LONGER_THAN_LINGER_US);
+  if (!row.late_loop)
+    caller->send (HELD);
+  run_loop_for (50 * US_PER_MS);
+  EXPECT_TRUE (wait ([&] { return caller->has ("END") || caller->reset; }));
+  EXPECT_NE (std::string::npos, caller->got.find (large));
+  EXPECT_FALSE (caller->reset);
+}
+
+const LastRow last_rows[] = {
+  { "CloseAsked", false, false },
+  { "CloseAskedInALateLoop", false, true },
+  { "Drain", true, false },
+  { "DrainInALateLoop", true, true },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, LastResponse, testing::ValuesIn (last_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+}
