Unread responses: what the caller acknowledges is progress

What callers saw: a caller that reads a large response slowly, but all the time, was cut off in it, or lost its rest to a reset when it sent its next request.

Cause: only a write that the socket took counted as progress. A socket that is full takes more only when about a third of what it holds has been acknowledged, which may be more than a slow caller reads in the limit (10 s); and a response that the socket took as a whole counted as stalled after that time.

It asks the kernel only for connections with output, without requests for their idle limit, or closing.

--- a/src/edge/http_connection.c
+++ b/src/edge/http_connection.c
@@ -289,6 +289,7 @@
           return;
         }
       bytes_consume (&connection->output, (size_t)sent);
+      connection->sent_bytes += (uint64_t)sent;
       connection->last_progress_us = connection->server->loop->now_us;
       connection->stalled_since_us = 0;
       if (connection->incoming == NULL)
@@ -310,7 +311,10 @@
       sent = send (connection->reader.fd, bytes_data (&connection->output),
                    bytes_size (&connection->output), MSG_NOSIGNAL);
       if (sent > 0)
-        bytes_consume (&connection->output, (size_t)sent);
+        {
+          bytes_consume (&connection->output, (size_t)sent);
+          connection->sent_bytes += (uint64_t)sent;
+        }
     }
 }
 
--- a/src/edge/http_server_impl.h
+++ b/src/edge/http_server_impl.h
@@ -39,8 +39,12 @@
      when output was last sent.  A caller must keep to these or to the server's
      present ones, whichever allow more.  */
   http_limits_t limits;
-  /* When the last request began or data was last read or sent.  */
+  /* When the last request began, data was last read or sent, or, while
+     responses are unread, the caller was last found to have acknowledged
+     more.  */
   int64_t last_progress_us;
+  uint64_t sent_bytes;  /* taken by the socket */
+  uint64_t acked_bytes; /* of these, when last looked at */
   /* When the caller was first found to have stopped reading, or 0.  */
   int64_t stalled_since_us;
   /* When a connection on which reading is paused was last found open: a close
--- a/src/edge/http_sweep.c
+++ b/src/edge/http_sweep.c
@@ -41,6 +41,19 @@
                        connection->server->limits.body_timeout_us);
 }
 
+/* The socket takes more only after much of what it holds is acknowledged, so
+   that it may be full for long while the caller reads on.  */
+static void
+note_acked_output (http_connection_t *connection)
+{
+  uint64_t unacked_bytes = loop_unacked_bytes (connection->reader.fd);
+  if (connection->sent_bytes <= connection->acked_bytes + unacked_bytes)
+    return;
+  connection->acked_bytes = connection->sent_bytes - unacked_bytes;
+  connection->last_progress_us = connection->server->loop->now_us;
+  connection->stalled_since_us = 0;
+}
+
 bool
 connection_is_idle (const http_connection_t *connection)
 {
@@ -64,9 +77,13 @@
                        http_close_reason_t reason)
 {
   connection_read (connection);
-  if (!connection->closed && connection_is_idle (connection)
-      && (loop_unacked_bytes (connection->reader.fd) == 0
-          || is_stalled (connection)))
+  if (connection->closed)
+    return;
+  bool all_acked = loop_unacked_bytes (connection->reader.fd) == 0;
+  if (!all_acked)
+    note_acked_output (connection);
+  if (connection_is_idle (connection)
+      && (all_acked || is_stalled (connection)))
     connection_close (connection, reason);
 }
 
@@ -95,18 +112,15 @@
     connection_refuse_request (connection, 408);
 }
 
-static bool
-is_response_unread (const http_connection_t *connection)
-{
-  return bytes_size (&connection->output) > 0 && is_stalled (connection);
-}
-
 /* The loop may have run late, so the caller gets one more sweep period to read
    on.  */
 static void
-close_if_still_unread (http_connection_t *connection)
+check_unread_output (http_connection_t *connection)
 {
   int64_t now_us = connection->server->loop->now_us;
+  note_acked_output (connection);
+  if (!is_stalled (connection))
+    return;
   if (connection->stalled_since_us == 0)
     connection->stalled_since_us = now_us;
   else if (now_us - connection->stalled_since_us > SWEEP_PERIOD_US)
@@ -118,6 +132,7 @@
 static void
 check_lingering_connection (http_connection_t *connection)
 {
+  note_acked_output (connection);
   if (no_progress_us (connection) <= LINGER_TIMEOUT_US)
     return;
   connection_read (connection);
@@ -151,8 +166,8 @@
     check_paused_connection (connection);
   else if (is_request_overdue (connection))
     time_out_request (connection);
-  else if (is_response_unread (connection))
-    close_if_still_unread (connection);
+  else if (bytes_size (&connection->output) > 0)
+    check_unread_output (connection);
   else if (is_idle_too_long (connection))
     connection_close_idle (connection, connection->server->draining
                                            ? HTTP_CLOSE_DRAINED
--- a/tests/mesh_owed_test.cc
+++ b/tests/mesh_owed_test.cc
@@ -15,6 +15,7 @@
     = "GET /large HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
 const std::string POST_HEAD = "POST /body HTTP/1.1\r\nHost: h\r\n";
 const size_t FITS_SOCKET_BYTES = 1 << 20;
+const size_t EXCEEDS_SOCKET_BYTES = 16 << 20;
 const int64_t LONGER_THAN_LINGER_US = 1300 * US_PER_MS;
 
 /* Leaves requests to /held open, and answers all others.  */
@@ -207,4 +208,50 @@
                           [] (const auto &row) {
                             return std::string (row.param.name);
                           });
+
+/* --- callers that read slowly -------------------------------------------- */
+
+struct SlowRow
+{
+  const char *name;
+  size_t size; /* of the response */
+  int slow_reads;
+};
+
+class SlowCaller : public Owed, public testing::WithParamInterface<SlowRow>
+{
+};
+
+TEST_P (SlowCaller, GetsItsWholeResponseAndMaySendMore)
+{
+  const SlowRow &row = GetParam ();
+  http_limits_t used = limits ();
+  used.idle_timeout_us = used.body_timeout_us;
+  start (used, row.size);
+  send_until_read (LARGE, 1);
+  std::string block (64 * 1024, '\0');
+  for (int i = 0; i < row.slow_reads; i++)
+    {
+      run_loop_for (used.body_timeout_us / 4);
+      ssize_t size = recv (caller->fd, &block[0], block.size (), 0);
+      ASSERT_LT (0, size);
+      caller->got.append (block, 0, (size_t)size);
+    }
+  caller->send (HELD);
+  run_loop_for (50 * US_PER_MS);
+  EXPECT_TRUE (wait ([&] { return caller->has ("END") || caller->ended; }));
+  EXPECT_NE (std::string::npos, caller->got.find (large));
+  EXPECT_FALSE (caller->reset);
+  EXPECT_EQ (1u, held.size ());
+}
+
+const SlowRow slow_rows[] = {
+  { "ThatTheSocketHolds", FITS_SOCKET_BYTES, 12 },
+  { "ThatTheSocketDoesNotHold", EXCEEDS_SOCKET_BYTES, 30 },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, SlowCaller, testing::ValuesIn (slow_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
 }
