Accept: a listener that cannot accept pauses and does not spin

One module, the acceptor, now handles the errors of accept for the caller, readiness, announcement, metrics and peer listeners. After a failure it pauses until a connection of its server is closed or 50 ms have passed. The time paused is in the metrics (accepting_paused_us_total) and in the log (paused-ms of accept-failed).

mesh_closes_test: the statistics moved into acceptor_stats_t, and the test of the metrics covers the new one; the checks are the same.

--- a/src/edge/http_connection.c
+++ b/src/edge/http_connection.c
@@ -208,6 +208,7 @@
   if (connection->next != NULL)
     connection->next->prev = connection->prev;
   server->stats.connections--;
+  acceptor_resume (&server->acceptor);
   /* Functions further up the stack may still use the connection.  */
   connection->next = server->closed_connections;
   server->closed_connections = connection;
--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -1,6 +1,5 @@
 #include "edge/http_server_impl.h"
 
-#include <errno.h>
 #include <stdlib.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -69,40 +68,23 @@
 
 /* --- the listener ------------------------------------------------------ */
 
-/* The connections that wait to be accepted stay in the kernel.  */
-static void
-count_accept_failure (http_server_t *server)
-{
-  if (errno == EAGAIN || errno == EINTR)
-    return;
-  server->stats.accept_failures++;
-  server->stats.accept_errno = errno;
-}
-
 /* Returns false when no connection waits, or accepting it failed.  */
 static bool
 accept_connection (http_server_t *server)
 {
-  struct sockaddr_in from = { 0 };
-  socklen_t size = sizeof from;
-  int fd = accept4 (server->acceptor.fd, (struct sockaddr *)&from, &size,
-                    SOCK_NONBLOCK | SOCK_CLOEXEC);
+  uint32_t caller_ip;
+  int fd = acceptor_take (&server->acceptor, &caller_ip);
   if (fd < 0)
-    {
-      count_accept_failure (server);
-      return false;
-    }
-  connection_open (server, fd, ntohl (from.sin_addr.s_addr));
+    return false;
+  connection_open (server, fd, caller_ip);
   return true;
 }
 
 static void
-on_acceptable (struct ev_loop *ev, ev_io *acceptor, int events)
+on_acceptable (void *ctx)
 {
-  (void)ev;
-  (void)events;
   for (int i = 0; i < ACCEPTS_PER_ITERATION; i++)
-    if (!accept_connection (acceptor->data))
+    if (!accept_connection (ctx))
       return;
 }
 
@@ -126,9 +108,7 @@
   server->handler = *handler;
   server->free_closed_task
       = (loop_task_t){ .run = connection_free_closed, .ctx = server };
-  ev_io_init (&server->acceptor, on_acceptable, fd, EV_READ);
-  server->acceptor.data = server;
-  ev_io_start (loop->ev, &server->acceptor);
+  acceptor_open (&server->acceptor, loop, fd, on_acceptable, server);
   ev_timer_init (&server->sweep_timer, on_sweep, 0, 0);
   server->sweep_timer.data = server;
   loop_start_timer (loop, &server->sweep_timer, SWEEP_PERIOD_US);
@@ -138,12 +118,11 @@
 void
 http_server_stop_listening (http_server_t *server)
 {
-  if (!ev_is_active (&server->acceptor))
+  if (!server->acceptor.open)
     return;
-  ev_io_stop (server->loop->ev, &server->acceptor);
   while (accept_connection (server))
     ;
-  close (server->acceptor.fd);
+  acceptor_close (&server->acceptor);
 }
 
 void
@@ -283,5 +262,7 @@
 http_server_stats_t
 http_server_stats (const http_server_t *server)
 {
-  return server->stats;
+  http_server_stats_t stats = server->stats;
+  stats.accepting = acceptor_stats (&server->acceptor);
+  return stats;
 }
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -8,6 +8,7 @@
    exceed the memory limit of all bodies (503), and heads that are too large
    (431).  */
 
+#include "edge/acceptor.h"
 #include "edge/fields.h"
 #include "edge/loop.h"
 
@@ -251,8 +252,7 @@
      response that they left.  */
   uint64_t caller_end_counts[HTTP_CALLER_END_COUNT];
   uint64_t caller_end_unanswered_counts[HTTP_CALLER_END_COUNT];
-  uint64_t accept_failures; /* errors of accept */
-  int accept_errno;         /* the last one, or 0 */
+  acceptor_stats_t accepting;
   uint64_t late_bytes;
   uint64_t late_requests;
 } http_server_stats_t;
--- a/src/edge/http_server_impl.h
+++ b/src/edge/http_server_impl.h
@@ -65,7 +65,7 @@
   http_limits_t next_limits; /* replaces limits when the notice period ends */
   int64_t notice_end_us;     /* 0 if no notice period runs */
   http_handler_t handler;
-  ev_io acceptor;
+  acceptor_t acceptor;
   ev_timer sweep_timer;
   http_connection_t *connections;
   loop_task_t free_closed_task;
--- a/src/edge/metrics.c
+++ b/src/edge/metrics.c
@@ -170,7 +170,11 @@
   for (int i = 0; i < LISTENER_COUNT; i++)
     append_labelled_metric (out, "accepts_failed_total", "listener",
                             listener_name ((listener_t)i),
-                            input->accept_failures[i]);
+                            input->accepting[i].failures);
+  for (int i = 0; i < LISTENER_COUNT; i++)
+    append_labelled_metric (out, "accepting_paused_us_total", "listener",
+                            listener_name ((listener_t)i),
+                            (uint64_t)input->accepting[i].paused_us);
   append_metric (out, "store_reads_total", input->store.reads);
   append_metric (out, "store_writes_total", input->store.writes);
   append_metric (out, "store_failures_total", input->store.failures);
--- a/src/edge/metrics.h
+++ b/src/edge/metrics.h
@@ -31,7 +31,7 @@
   peer_set_stats_t peers;
   store_stats_t store;
   http_server_stats_t callers;
-  uint64_t accept_failures[LISTENER_COUNT];
+  acceptor_stats_t accepting[LISTENER_COUNT];
   uint64_t config_version;
 } metrics_input_t;
 
--- a/src/edge/peer.c
+++ b/src/edge/peer.c
@@ -242,21 +242,13 @@
 }
 
 static void
-on_connection (struct ev_loop *ev, ev_io *watcher, int events)
+on_connection (void *ctx)
 {
-  peer_set_t *peers = watcher->data;
-  (void)ev;
-  (void)events;
-  int fd = accept4 (watcher->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  peer_set_t *peers = ctx;
+  uint32_t ip;
+  int fd = acceptor_take (&peers->acceptor, &ip);
   if (fd < 0)
-    {
-      if (errno != EAGAIN && errno != EINTR)
-        {
-          peers->stats.accept_failures++;
-          peers->stats.accept_errno = errno;
-        }
-      return;
-    }
+    return;
   loop_set_socket_options (fd, LINK_ACK_TIMEOUT_MS);
   link_send_report (link_open (peers, fd, false), true);
 }
@@ -282,9 +274,7 @@
   peers->own_vm = vm_id_make (addr.ip, addr.port);
   peers->free_closed_task
       = (loop_task_t){ .run = link_free_closed, .ctx = peers };
-  ev_io_init (&peers->accept_watcher, on_connection, fd, EV_READ);
-  peers->accept_watcher.data = peers;
-  ev_io_start (loop->ev, &peers->accept_watcher);
+  acceptor_open (&peers->acceptor, loop, fd, on_connection, peers);
   return peers;
 }
 
@@ -293,8 +283,7 @@
 {
   if (peers == NULL)
     return;
-  ev_io_stop (peers->loop->ev, &peers->accept_watcher);
-  close (peers->accept_watcher.fd);
+  acceptor_close (&peers->acceptor);
   for (peer_link_t *link = peers->links; link != NULL; link = link->next)
     link_send_output (link);
   while (peers->links != NULL)
@@ -381,6 +370,7 @@
 peer_set_stats (const peer_set_t *peers)
 {
   peer_set_stats_t stats = peers->stats;
+  stats.accepting = acceptor_stats (&peers->acceptor);
   for (const peer_t *peer = peers->first_peer; peer != NULL; peer = peer->next)
     stats.peers_up += peer->active_link != NULL;
   return stats;
--- a/src/edge/peer.h
+++ b/src/edge/peer.h
@@ -7,6 +7,7 @@
    is closed and opened again, so that a network path that drops packets is
    detected even when no error is signalled.  */
 
+#include "edge/acceptor.h"
 #include "edge/bytes.h"
 #include "edge/loop.h"
 #include "mesh/call.h"
@@ -168,8 +169,7 @@
   /* Frames that were not sent, as a string or list in them is over its limit
      in the protocol.  */
   uint64_t frames_dropped[TRAFFIC_COUNT];
-  uint64_t accept_failures; /* errors of accept */
-  int accept_errno;         /* the last one, or 0 */
+  acceptor_stats_t accepting;
 } peer_set_stats_t;
 
 peer_set_stats_t peer_set_stats (const peer_set_t *peers);
--- a/src/edge/peer_impl.h
+++ b/src/edge/peer_impl.h
@@ -4,6 +4,7 @@
 /* Internal declarations of peer.c (the set of peers), peer_link.c (connections
    and frames) and peer_stream.c (calls over connections).  */
 
+#include "edge/acceptor.h"
 #include "edge/peer.h"
 
 typedef struct peer_link_t peer_link_t;
@@ -93,7 +94,7 @@
   loop_t *loop;
   peer_handler_t handler;
   vm_id_t own_vm;
-  ev_io accept_watcher;
+  acceptor_t acceptor;
   peer_t *first_peer;
   /* Hash table of the peers by VM; bucket_count is a power of two, or 0.  */
   peer_t **buckets;
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -198,14 +198,8 @@
 
 /* --- errors without a caller to tell ------------------------------------ */
 
-typedef struct accept_failures_t
-{
-  uint64_t count; /* since the start */
-  int last_errno;
-} accept_failures_t;
-
-static accept_failures_t
-accept_failures (const sidecar_t *sidecar, listener_t listener)
+static acceptor_stats_t
+accepting_stats (const sidecar_t *sidecar, listener_t listener)
 {
   const http_server_t *const servers[LISTENER_COUNT] = {
     [LISTENER_CALLERS] = sidecar->caller_server,
@@ -214,12 +208,8 @@
     [LISTENER_METRICS] = sidecar->metrics_server,
   };
   if (listener == LISTENER_PEERS)
-    {
-      peer_set_stats_t peers = peer_set_stats (sidecar->peers);
-      return (accept_failures_t){ peers.accept_failures, peers.accept_errno };
-    }
-  http_server_stats_t server = http_server_stats (servers[listener]);
-  return (accept_failures_t){ server.accept_failures, server.accept_errno };
+    return peer_set_stats (sidecar->peers).accepting;
+  return http_server_stats (servers[listener]).accepting;
 }
 
 /* Logs new failures of accept, at most one line for each listener and
@@ -229,14 +219,15 @@
 {
   for (int i = 0; i < LISTENER_COUNT; i++)
     {
-      accept_failures_t failures = accept_failures (sidecar, (listener_t)i);
+      acceptor_stats_t accepting = accepting_stats (sidecar, (listener_t)i);
       uint64_t *logged = &sidecar->logged_accept_failures[i];
-      if (failures.count > *logged)
+      if (accepting.failures > *logged)
         event_log_write (&sidecar->log, EVENT_CONNECTION, "accept-failed",
-                         "listener=%s errno=%d failures=%llu",
-                         listener_name ((listener_t)i), failures.last_errno,
-                         (unsigned long long)(failures.count - *logged));
-      *logged = failures.count;
+                         "listener=%s errno=%d failures=%llu paused-ms=%lld",
+                         listener_name ((listener_t)i), accepting.last_errno,
+                         (unsigned long long)(accepting.failures - *logged),
+                         (long long)(accepting.paused_us / US_PER_MS));
+      *logged = accepting.failures;
     }
 }
 
@@ -293,7 +284,7 @@
     .config_version = operator_feed_config_version (sidecar->operator_feed),
   };
   for (int i = 0; i < LISTENER_COUNT; i++)
-    input.accept_failures[i] = accept_failures (sidecar, (listener_t)i).count;
+    input.accepting[i] = accepting_stats (sidecar, (listener_t)i);
   bytes_t text = { 0 };
   static const char headers[] = "Content-Type: text/plain\r\n";
   metrics_write (&text, &input);
--- a/tests/mesh_closes_test.cc
+++ b/tests/mesh_closes_test.cc
@@ -421,8 +421,8 @@
   caller->send (READY);
   {
     NoDescriptors none;
-    ASSERT_TRUE (wait ([&] { return stats ().accept_failures > 0; }));
-    EXPECT_EQ (EMFILE, stats ().accept_errno);
+    ASSERT_TRUE (wait ([&] { return stats ().accepting.failures > 0; }));
+    EXPECT_EQ (EMFILE, stats ().accepting.last_errno);
   }
   EXPECT_TRUE (wait ([&] { return caller->has ("ok"); }));
 }
@@ -432,8 +432,8 @@
   Caller peer (vm_id_port (peer_set_own_vm (a->peers)));
   NoDescriptors none;
   ASSERT_TRUE (
-      wait ([&] { return peer_set_stats (a->peers).accept_failures > 0; }));
-  EXPECT_EQ (EMFILE, peer_set_stats (a->peers).accept_errno);
+      wait ([&] { return peer_set_stats (a->peers).accepting.failures > 0; }));
+  EXPECT_EQ (EMFILE, peer_set_stats (a->peers).accepting.last_errno);
 }
 
 TEST_F (Two, FrameThatCannotBeEncodedIsCounted)
@@ -456,7 +456,8 @@
   input.callers.responses_behind_counts[HTTP_CLOSE_CALLER] = 3;
   input.callers.unread_counts[HTTP_CLOSE_FREED] = 4;
   input.peers.frames_dropped[TRAFFIC_REPLY] = 5;
-  input.accept_failures[LISTENER_CALLERS] = 6;
+  input.accepting[LISTENER_CALLERS].failures = 6;
+  input.accepting[LISTENER_PEERS].paused_us = 7;
   metrics_write (&text, &input);
   std::string got (bytes_data (&text), bytes_size (&text));
   bytes_free (&text);
@@ -466,7 +467,8 @@
           "caller_responses_held_back_total{end=\"caller\"} 3",
           "caller_connections_unread_total{end=\"freed\"} 4",
           "peer_frames_dropped_total{kind=\"answer\"} 5",
-          "accepts_failed_total{listener=\"callers\"} 6" };
+          "accepts_failed_total{listener=\"callers\"} 6",
+          "accepting_paused_us_total{listener=\"peer\"} 7" };
   for (const char *line : lines)
     EXPECT_NE (std::string::npos,
                got.find ("redwingford_" + std::string (line) + "\n"))
