Connect at once to a member whose link was lost

Seen: after a reset of a link no call could go between two sidecars that both live until the next tick, up to 250 ms later (and again the same time if the link was young): no server, and no way to ask for the outcome of the calls on it.

Cause: only the tick dials, and not sooner than 250 ms after the last dial. A link that had stood says that the other side answers.

The loss of a peer's last link queues one dial at the end of the loop iteration. If that dial fails, the delays are as before, so a member that is down costs one more connection attempt.

Test: LostLink.LinkIsOpenedAgainAtOnce; without the change it timed out after 20 s ("Actual: false").

--- a/src/edge/peer.c
+++ b/src/edge/peer.c
@@ -107,7 +107,11 @@
   if (best != NULL)
     peer->reconnect_delay_us = RECONNECT_DELAY_MIN_US;
   else if (was_up)
-    peer->peers->handler.on_disconnect (peer->peers->handler.ctx, peer);
+    {
+      peer->next_connect_us = peer->peers->loop->now_us;
+      loop_defer (peer->peers->loop, &peer->peers->reconnect_task);
+      peer->peers->handler.on_disconnect (peer->peers->handler.ctx, peer);
+    }
 }
 
 static bool
@@ -227,6 +231,14 @@
   return peer->cross_zone;
 }
 
+static void
+reconnect (void *ctx)
+{
+  peer_set_t *peers = ctx;
+  for (peer_t *peer = peers->first_peer; peer != NULL; peer = peer->next)
+    connect_peer (peer);
+}
+
 void
 peer_set_tick (peer_set_t *peers, bool full, bool cross_zone)
 {
@@ -236,8 +248,7 @@
       next = link->next;
       check_link (link);
     }
-  for (peer_t *peer = peers->first_peer; peer != NULL; peer = peer->next)
-    connect_peer (peer);
+  reconnect (peers);
   send_reports (peers, full, cross_zone);
 }
 
@@ -274,6 +285,7 @@
   peers->own_vm = vm_id_make (addr.ip, addr.port);
   peers->free_closed_task
       = (loop_task_t){ .run = link_free_closed, .ctx = peers };
+  peers->reconnect_task = (loop_task_t){ .run = reconnect, .ctx = peers };
   acceptor_open (&peers->acceptor, loop, fd, on_connection, peers);
   return peers;
 }
@@ -289,6 +301,7 @@
   while (peers->links != NULL)
     link_close (peers->links);
   loop_cancel (peers->loop, &peers->free_closed_task);
+  loop_cancel (peers->loop, &peers->reconnect_task);
   link_free_closed (peers);
   while (peers->first_peer != NULL)
     {
--- a/src/edge/peer_impl.h
+++ b/src/edge/peer_impl.h
@@ -103,6 +103,7 @@
   peer_link_t *links;        /* the newest first */
   peer_link_t *closed_links; /* to be freed by free_closed_task */
   loop_task_t free_closed_task;
+  loop_task_t reconnect_task; /* connects to members without a link */
   peer_set_stats_t stats;
   char *block;
 };
