Resume reads over the next link when theirs was lost

Cause: the loss of a link was taken for a cancellation by the caller (serve_cancel_call), so runs of reads were aborted; and the entry point asked for the outcome of bookings only.

The entry point asks for reads as for bookings, for 0.25 s, less if a retry would need that time; then it retries within the pool as before. A cancel frame aborts at once as before. A run that is asked for is an ordinary run again, and an outcome is given once.

A read that is not known there may have ended with its reply lost on the way, so the answer is "may have run" (outcome-not-kept) and costs a retry: no tombstone is needed, and the same id can be sent to the same VM again. The outcome belongs to the id and the content of the request. Bookings are handled as before. A sidecar of an earlier version runs a read that is asked for once more, uncounted.

Counted apart for reads and bookings, in the metrics and one line (lost-calls) each ten seconds.

Tests: mesh_resume_test. Before the fix QueuedBackRead, RunningBackRead and EndedBackRead printed "200: HTTP/1.1 502 Bad Gateway".

--- a/src/edge/entry_answer.c
+++ b/src/edge/entry_answer.c
@@ -99,7 +99,9 @@
       exchange->peer_call = NULL;
       exchange->run = NULL;
     }
-  if (!was_query)
+  if (was_query)
+    exchange_lost_call_stats (exchange)->answered++;
+  else
     exchange_report_attempt (exchange,
                              reply->status < 500 ? RUN_OK : RUN_FAILED,
                              reply->run_us, &reply->load);
@@ -178,6 +180,47 @@
              || failure->cause == CAUSE_WRONG_SERVICE);
 }
 
+lost_call_stats_t *
+exchange_lost_call_stats (exchange_t *exchange)
+{
+  entry_stats_t *stats = &exchange->entry->stats;
+  return exchange->idempotent ? &stats->lost_reads : &stats->lost_bookings;
+}
+
+void
+exchange_retry_or_end (exchange_t *exchange, entry_end_t end)
+{
+  exchange->may_have_run = true;
+  if (exchange_take_retry (exchange))
+    exchange_place (exchange);
+  else
+    exchange_respond_error (exchange, end, 502);
+}
+
+/* Whether to ask for the outcome of the attempt that has failed with FAILURE.
+   A request that must run at most once is not retried.  The outcome of an
+   idempotent one is not kept once its reply has begun.  */
+static bool
+should_query_outcome (const exchange_t *exchange,
+                      const call_failure_t *failure, bool was_buffering)
+{
+  if (failure->cause != CAUSE_PEER_LOST)
+    return false;
+  bool unknown = failure->kind == FAILURE_OUTCOME_UNKNOWN;
+  return exchange->idempotent ? unknown && !was_buffering
+                              : unknown || was_buffering;
+}
+
+static void
+count_query_failure (exchange_t *exchange, const call_failure_t *failure)
+{
+  lost_call_stats_t *stats = exchange_lost_call_stats (exchange);
+  if (failure->kind == FAILURE_REFUSED)
+    stats->refused++;
+  else
+    stats->unknown++;
+}
+
 static void
 on_failed (void *ctx, const call_failure_t *failure)
 {
@@ -209,28 +252,21 @@
       exchange_schedule_query (exchange);
       return;
     }
+  if (was_query)
+    count_query_failure (exchange, failure);
   if (failure->kind == FAILURE_REFUSED)
     {
       handle_refusal (exchange, failure);
       return;
     }
-  /* A request that must run at most once is not retried; the sidecar that it
-     was sent to is asked for its outcome.  */
-  if (failure->cause == CAUSE_PEER_LOST && !exchange->idempotent
-      && (failure->kind == FAILURE_OUTCOME_UNKNOWN || was_buffering))
+  if (should_query_outcome (exchange, failure, was_buffering))
     {
-      exchange_query_outcome (exchange);
+      exchange_begin_query (exchange);
       return;
     }
-  exchange->may_have_run = true;
-  if (exchange_take_retry (exchange))
-    exchange_place (exchange);
-  else
-    exchange_respond_error (exchange,
-                            failure->kind == FAILURE_OUTCOME_UNKNOWN
-                                ? ENTRY_OUTCOME_UNKNOWN
-                                : ENTRY_ANSWER_BROKEN,
-                            502);
+  exchange_retry_or_end (exchange, failure->kind == FAILURE_OUTCOME_UNKNOWN
+                                       ? ENTRY_OUTCOME_UNKNOWN
+                                       : ENTRY_ANSWER_BROKEN);
 }
 
 call_sink_t
--- a/src/edge/entry_impl.h
+++ b/src/edge/entry_impl.h
@@ -116,6 +116,8 @@
   int64_t wait_until_us;    /* end of the wait for a server */
   int64_t sent_us;          /* when the current attempt was sent */
   int64_t overdue_check_us; /* next check whether its reply is overdue */
+  /* End of the queries for the outcome of an idempotent request.  */
+  int64_t query_until_us;
   bytes_t request_fields;
   vm_id_t tried_vms[SERVERS_TRIED_MAX];
   uint32_t tried_count;
@@ -169,12 +171,16 @@
    freed on return.  */
 void exchange_place (exchange_t *exchange);
 
-/* Asks the sidecar that the request was sent to for its outcome, or schedules
-   this query if that sidecar cannot be reached now.  */
+/* Called when the link of the current attempt was lost.  Asks the sidecar that
+   the request was sent to for its outcome.  */
+void exchange_begin_query (exchange_t *exchange);
+
+/* Sends the query for the outcome, or schedules it if that sidecar cannot be
+   reached now.  */
 void exchange_query_outcome (exchange_t *exchange);
 
-/* Schedules a query for the outcome, or responds with an error if the deadline
-   is closer than about RESPONSE_MARGIN_US.  */
+/* Schedules a query for the outcome.  If there is no time for another,
+   responds with an error, or retries an idempotent request.  */
 void exchange_schedule_query (exchange_t *exchange);
 
 /* Returns whether the request may be retried after an attempt that may have
@@ -213,6 +219,13 @@
 /* Returns the callbacks for the reply to an attempt.  */
 call_sink_t exchange_sink (exchange_t *exchange);
 
+/* Retries the request after an attempt that may have run, or responds with END
+   if it may not be retried.  */
+void exchange_retry_or_end (exchange_t *exchange, entry_end_t end);
+
+/* Returns the counters of lost calls of the exchange's kind.  */
+lost_call_stats_t *exchange_lost_call_stats (exchange_t *exchange);
+
 /* Applies flow control after the caller has read the response (SIZE is 0) or
    SIZE more bytes of the reply have arrived.  While the caller has more than
    UNREAD_MAX_BYTES unread of the connection's responses, the local run of a
--- a/src/edge/entry_place.c
+++ b/src/edge/entry_place.c
@@ -13,6 +13,7 @@
   /* Time between two checks whether an overdue request can be retried now.  */
   OVERDUE_CHECK_INTERVAL_US = 200 * US_PER_MS,
   RETRY_INTERVAL_US = 50 * US_PER_MS, /* between two tries to reach a server */
+  QUERY_IDEMPOTENT_US = 250 * US_PER_MS, /* until a link stands again */
   SILENT_SERVERS_MAX = 4 /* picks until a server with a silent link is used */
 };
 
@@ -74,7 +75,8 @@
   int64_t behind_us
       = http_earliest_deadline_behind_us (exchange->http) - RESPONSE_MARGIN_US;
   int64_t run_us = (int64_t)exchange->timing->mean_run_us;
-  bool check = exchange->step == STEP_SENT && !exchange->overdue_retry_disabled
+  bool sent = exchange->step == STEP_SENT || exchange->step == STEP_QUERYING;
+  bool check = sent && !exchange->overdue_retry_disabled
                && exchange->overdue_check_us + run_us < last_us;
   int64_t until_us = check ? exchange->overdue_check_us : last_us;
   bool behind_first
@@ -312,8 +314,19 @@
 void
 exchange_schedule_query (exchange_t *exchange)
 {
-  if (schedule_retry (exchange, last_moment_us (exchange)))
+  int64_t last_us = last_moment_us (exchange);
+  int64_t until_us = exchange->idempotent && exchange->query_until_us < last_us
+                         ? exchange->query_until_us
+                         : last_us;
+  if (schedule_retry (exchange, until_us))
     return;
+  exchange_lost_call_stats (exchange)->unknown++;
+  if (exchange->idempotent)
+    {
+      exchange->cause = CAUSE_PEER_LOST;
+      exchange_retry_or_end (exchange, ENTRY_OUTCOME_UNKNOWN);
+      return;
+    }
   exchange->may_have_run = true;
   exchange_give_up (exchange, ENTRY_DEADLINE_PASSED);
 }
@@ -327,6 +340,20 @@
     exchange_schedule_query (exchange);
 }
 
+void
+exchange_begin_query (exchange_t *exchange)
+{
+  int64_t until_us = exchange->entry->deps.loop->now_us + QUERY_IDEMPOTENT_US;
+  int64_t retry_us
+      = last_moment_us (exchange) - (int64_t)exchange->timing->mean_run_us;
+  /* The queries leave enough time for a retry.  */
+  exchange->query_until_us = exchange->retries_left > 0 && retry_us < until_us
+                                 ? retry_us
+                                 : until_us;
+  exchange_lost_call_stats (exchange)->queried++;
+  exchange_query_outcome (exchange);
+}
+
 void
 exchange_begin_buffering (exchange_t *exchange)
 {
@@ -400,7 +427,10 @@
 static bool
 retry_overdue_attempt (exchange_t *exchange)
 {
-  if (exchange->step != STEP_SENT || exchange->overdue_retry_disabled)
+  bool querying
+      = exchange->step == STEP_QUERYING && exchange->peer_call != NULL;
+  if ((exchange->step != STEP_SENT && !querying)
+      || exchange->overdue_retry_disabled)
     return false;
   if (reply_overdue_us (exchange) > exchange->entry->deps.loop->now_us)
     {
@@ -416,7 +446,10 @@
       return true;
     }
   exchange_cancel_attempt (exchange);
-  exchange_report_attempt (exchange, RUN_FAILED, 0, &(server_load_t){ 0 });
+  if (!querying)
+    exchange_report_attempt (exchange, RUN_FAILED, 0, &(server_load_t){ 0 });
+  else
+    exchange_lost_call_stats (exchange)->unknown++;
   exchange->may_have_run = true;
   /* The cancelled attempt might still have been answered, so the new one may
      wait for a server until the deadline.  */
--- a/src/edge/entry_point.h
+++ b/src/edge/entry_point.h
@@ -118,6 +118,16 @@
   ENTRY_LATENCY_BUCKETS = 24
 };
 
+/* Counters of calls whose link was lost: how many were asked for, and how many
+   queries got the reply, a refusal, or no outcome.  */
+typedef struct lost_call_stats_t
+{
+  uint64_t queried;
+  uint64_t answered;
+  uint64_t refused;
+  uint64_t unknown;
+} lost_call_stats_t;
+
 /* All but OPEN_REQUESTS are counters since the start.  */
 typedef struct entry_stats_t
 {
@@ -133,6 +143,9 @@
   uint64_t placed_remote;     /* on other VMs */
   uint64_t placed_cross_zone; /* part of placed_remote: other zones */
   uint64_t silent_servers_passed_over;
+  /* Requests whose outcome was asked for because their link was lost.  */
+  lost_call_stats_t lost_reads;
+  lost_call_stats_t lost_bookings;
   /* Answered requests by latency.  Bucket I ends below 2^(I+1) us; the last
      one has no end.  */
   uint64_t latency_buckets[ENTRY_LATENCY_BUCKETS];
--- a/src/edge/metrics.c
+++ b/src/edge/metrics.c
@@ -45,6 +45,20 @@
     }
 }
 
+static void
+append_lost_call_metrics (bytes_t *out, const char *kind,
+                          const lost_call_stats_t *stats)
+{
+  append_labelled_metric (out, "lost_calls_queried_total", "kind", kind,
+                          stats->queried);
+  append_labelled_metric (out, "lost_calls_answered_total", "kind", kind,
+                          stats->answered);
+  append_labelled_metric (out, "lost_calls_refused_total", "kind", kind,
+                          stats->refused);
+  append_labelled_metric (out, "lost_calls_unknown_total", "kind", kind,
+                          stats->unknown);
+}
+
 static void
 append_entry_metrics (bytes_t *out, const entry_stats_t *entry)
 {
@@ -55,6 +69,8 @@
   append_metric (out, "placed_far_total", entry->placed_cross_zone);
   append_metric (out, "silent_servers_passed_over_total",
                  entry->silent_servers_passed_over);
+  append_lost_call_metrics (out, "read", &entry->lost_reads);
+  append_lost_call_metrics (out, "booking", &entry->lost_bookings);
   for (int i = 0; i < ENTRY_END_COUNT; i++)
     append_labelled_metric (out, "requests_total", "end",
                             entry_end_name ((entry_end_t)i), entry->ends[i]);
@@ -77,6 +93,14 @@
   append_metric (out, "runs_total", runner->runs_started);
   append_metric (out, "runs_answered_total", runner->runs_answered);
   append_metric (out, "runs_orphaned_total", runner->runs_orphaned);
+  append_metric (out, "runs_detached_total", runner->runs_detached);
+  append_metric (out, "runs_resumed_total", runner->runs_resumed);
+  append_metric (out, "runs_replayed_total", runner->runs_replayed);
+  append_metric (out, "runs_detach_expired_total",
+                 runner->runs_detach_expired);
+  append_metric (out, "runs_detach_refused_total",
+                 runner->runs_detach_refused);
+  append_metric (out, "queries_unknown_total", runner->queries_unknown);
   append_metric (out, "health_checks_total", runner->probes_sent);
   append_metric (out, "backend_connections", runner->connections.connections);
   append_metric (out, "backend_connections_opened_total",
--- a/src/edge/peer.h
+++ b/src/edge/peer.h
@@ -45,8 +45,8 @@
      within this callback.  CALL is borrowed.  */
   void (*on_call) (void *ctx, peer_stream_t *stream,
                    const call_request_t *call);
-  /* The caller cancelled the call, or its link was lost.  STREAM is freed
-     when the callback returns.  */
+  /* The caller cancelled the call, or its link was lost (see
+     peer_stream_is_lost).  STREAM is freed when the callback returns.  */
   void (*on_cancel) (void *ctx, peer_stream_t *stream);
   /* The caller has consumed data of the reply, so that more may be sent.  */
   void (*on_credit) (void *ctx, peer_stream_t *stream);
@@ -122,6 +122,9 @@
    has consumed, so that it may send more.  The credit is sent in batches.  */
 void peer_call_consume (peer_call_t *call, size_t size);
 
+/* Whether the link of STREAM was lost.  */
+bool peer_stream_is_lost (const peer_stream_t *stream);
+
 /* Sends the head of the reply to a served call and the first SIZE bytes of its
    body.  Its fields have MESH_FIELDS_MAX bytes at most.  LAST ends the call
    and frees STREAM.  */
--- a/src/edge/peer_stream.c
+++ b/src/edge/peer_stream.c
@@ -489,6 +489,12 @@
   return stream->uncredited_bytes > STREAM_WINDOW_BYTES;
 }
 
+bool
+peer_stream_is_lost (const peer_stream_t *stream)
+{
+  return stream->link->closed;
+}
+
 void
 peer_stream_set_user_data (peer_stream_t *stream, void *user_data)
 {
--- a/src/edge/runner.c
+++ b/src/edge/runner.c
@@ -118,9 +118,9 @@
   return run;
 }
 
-static start_verdict_t
-refuse_call (runner_t *runner, call_failure_t *failure, failure_kind_t kind,
-             cause_t cause)
+start_verdict_t
+runner_refuse_call (runner_t *runner, call_failure_t *failure,
+                    failure_kind_t kind, cause_t cause)
 {
   runner->stats.failures[cause]++;
   *failure = (call_failure_t){ .kind = kind,
@@ -129,11 +129,9 @@
   return START_FAILED;
 }
 
-/* Passes the kept outcome of RUN, which has ended, to SINK or, if it is a
-   failure, stores it in *FAILURE.  A reply that was too large to keep is
-   FAILURE_INVALID_REPLY.  */
-static start_verdict_t
-replay_outcome (run_t *run, const call_sink_t *sink, call_failure_t *failure)
+start_verdict_t
+run_replay_outcome (run_t *run, const call_sink_t *sink,
+                    call_failure_t *failure)
 {
   if (run->failed)
     {
@@ -141,21 +139,19 @@
       return START_FAILED;
     }
   if (run->reply_started || run->reply_too_large)
-    return refuse_call (run->runner, failure, FAILURE_INVALID_REPLY,
-                        CAUSE_PEER_LOST);
+    return runner_refuse_call (run->runner, failure, FAILURE_INVALID_REPLY,
+                               CAUSE_PEER_LOST);
   sink->reply (sink->ctx, &run->reply, bytes_data (&run->reply_body),
                bytes_size (&run->reply_body), true);
   return START_ANSWERED;
 }
 
-/* Makes SINK the sink of RUN.  The previous sink is given a failure, so that
-   at most one owner holds a pointer to the run.  */
-static start_verdict_t
-replace_sink (run_t *run, const call_sink_t *sink, call_failure_t *failure)
+start_verdict_t
+run_replace_sink (run_t *run, const call_sink_t *sink, call_failure_t *failure)
 {
   if (run->reply_started)
-    return refuse_call (run->runner, failure, FAILURE_INVALID_REPLY,
-                        CAUSE_PEER_LOST);
+    return runner_refuse_call (run->runner, failure, FAILURE_INVALID_REPLY,
+                               CAUSE_PEER_LOST);
   call_sink_t previous = run->sink;
   bool had_sink = run->has_sink;
   run->sink = *sink;
@@ -194,22 +190,22 @@
 {
   run_t *earlier = runner_find_attempt (runner, call->attempt_id);
   if (earlier != NULL && earlier->state == RUN_STATE_ENDED)
-    *verdict = replay_outcome (earlier, sink, failure);
+    *verdict = run_replay_outcome (earlier, sink, failure);
   else if (earlier != NULL)
     {
-      *verdict = replace_sink (earlier, sink, failure);
+      *verdict = run_replace_sink (earlier, sink, failure);
       *run = earlier;
     }
   else if (!call->asks_outcome)
     return false;
   else if (call->incarnation != runner->incarnation)
-    *verdict = refuse_call (runner, failure, FAILURE_OUTCOME_UNKNOWN,
-                            CAUSE_PEER_RESTARTED);
+    *verdict = runner_refuse_call (runner, failure, FAILURE_OUTCOME_UNKNOWN,
+                                   CAUSE_PEER_RESTARTED);
   else
     {
       add_tombstone (runner, call, sink);
-      *verdict = refuse_call (runner, failure, FAILURE_REFUSED,
-                              CAUSE_CALL_NOT_RECEIVED);
+      *verdict = runner_refuse_call (runner, failure, FAILURE_REFUSED,
+                                     CAUSE_CALL_NOT_RECEIVED);
     }
   return true;
 }
@@ -223,6 +219,8 @@
   start_verdict_t verdict;
   runner_free_expired (runner);
   *run = NULL;
+  if (call->idempotent && call->asks_outcome)
+    return runner_resume_detached (runner, call, sink, run, failure);
   if (!call->idempotent
       && resolve_known_attempt (runner, call, sink, run, failure, &verdict))
     return verdict;
@@ -231,15 +229,15 @@
                                     runner->loop->now_us))
     {
       run_free (created);
-      return refuse_call (runner, failure, FAILURE_REFUSED,
-                          CAUSE_CRASH_SUSPECT);
+      return runner_refuse_call (runner, failure, FAILURE_REFUSED,
+                                 CAUSE_CRASH_SUSPECT);
     }
   switch (intake_offer (runner->intake, &created->intake_entry,
                         runner->loop->now_us, &cause))
     {
     case INTAKE_REFUSED:
       run_free (created);
-      return refuse_call (runner, failure, FAILURE_REFUSED, cause);
+      return runner_refuse_call (runner, failure, FAILURE_REFUSED, cause);
     case INTAKE_QUEUED:
       created->state = RUN_STATE_QUEUED;
       break;
@@ -306,6 +304,7 @@
   if (runner == NULL)
     return;
   http_client_free (runner->client);
+  runner_free_detached (runner);
   run_t *next;
   for (run_t *run = runner->open_first; run != NULL; run = next)
     {
@@ -351,7 +350,10 @@
 runner_tick (runner_t *runner)
 {
   runner_free_expired (runner);
-  return intake_tick (runner->intake, runner->loop->now_us);
+  runner_end_detached (runner);
+  int64_t intake_us = intake_tick (runner->intake, runner->loop->now_us);
+  int64_t detached_us = runner_detached_due_us (runner);
+  return intake_us < detached_us ? intake_us : detached_us;
 }
 
 server_load_t
--- a/src/edge/runner.h
+++ b/src/edge/runner.h
@@ -14,6 +14,13 @@
 #include "mesh/intake.h"
 #include "mesh/server_view.h"
 
+enum
+{
+  /* Less than the half second in which work for a caller that has gone must
+     have ended.  */
+  DETACHED_RUN_US = 300 * US_PER_MS
+};
+
 typedef struct runner_t runner_t;
 typedef struct run_t run_t;
 
@@ -68,12 +75,19 @@
                                    const call_sink_t *sink, run_t **run,
                                    call_failure_t *failure);
 
-/* Cancels RUN because its caller has gone or the link to it was lost; no
-   callback follows.  A run that must run at most once and that the server may
-   have begun continues, and its reply is kept for a query for the outcome,
-   unless it is known to be too large.  Any other run is aborted.  */
+/* Cancels RUN because its caller has gone; no callback follows.  A run that
+   must run at most once and that the server may have begun continues, and its
+   reply is kept for a query for the outcome, unless it is known to be too
+   large.  Any other run is aborted.  */
 void run_cancel (run_t *run);
 
+/* Takes the sink from RUN because the link to the sidecar that asked for it
+   was lost; no callback follows.  An idempotent run continues for
+   DETACHED_RUN_US, and its outcome is kept for as long, for a query for the
+   outcome; it is aborted if a part of its reply was passed on.  Any other run
+   is treated as by run_cancel.  */
+void run_detach (run_t *run);
+
 /* Whether the server may have begun RUN.  */
 bool run_may_have_begun (const run_t *run);
 
@@ -112,6 +126,16 @@
   uint64_t runs_started; /* sent to the server; one sent twice counts twice */
   uint64_t runs_answered;
   uint64_t runs_orphaned; /* continued after their callers had gone */
+  /* Idempotent runs whose link was lost: DETACHED continued, of which RESUMED
+     were given to a query while open, REPLAYED after their end, and EXPIRED
+     found no query in time.  DETACH_REFUSED were aborted at the loss, and
+     QUERIES_UNKNOWN queries found no run.  */
+  uint64_t runs_detached;
+  uint64_t runs_resumed;
+  uint64_t runs_replayed;
+  uint64_t runs_detach_expired;
+  uint64_t runs_detach_refused;
+  uint64_t queries_unknown;
   uint64_t probes_sent;
   uint64_t failures[CAUSE_COUNT]; /* by cause; includes refusals */
   http_client_stats_t connections;
--- a/src/edge/runner_answer.c
+++ b/src/edge/runner_answer.c
@@ -64,7 +64,8 @@
 
 /* --- ends of a run ----------------------------------------------------- */
 
-/* Ends RUN.  Keeps its outcome if it must run at most once, else frees it.  */
+/* Ends RUN.  Keeps its outcome if it must run at most once or is detached,
+   else frees it.  */
 static void
 finish_run (run_t *run)
 {
@@ -72,6 +73,8 @@
   run_remove_open (run);
   if (run->in_attempt_table)
     run_keep_outcome (run);
+  else if (run->detached)
+    run_keep_detached_outcome (run);
   else
     run_free (run);
 }
@@ -123,7 +126,7 @@
       = run->in_attempt_table ? &run->reply_body : &body;
   call_reply_t reply = run->reply;
   bytes_t fields = { 0 };
-  if (!run->in_attempt_table)
+  if (!run->in_attempt_table && had_sink)
     {
       fields = run->reply_fields;
       run->reply_fields = (bytes_t){ 0 };
@@ -314,6 +317,11 @@
       data = NULL;
       size = 0;
     }
+  if (run->detached)
+    {
+      run_abort (run); /* too large to keep, and there is no sink */
+      return;
+    }
   if (!run->reply_started)
     {
       run->reply_started = true;
--- a/src/edge/runner_impl.h
+++ b/src/edge/runner_impl.h
@@ -2,7 +2,8 @@
 #define REDWINGFORD_RUNNER_IMPL_H
 
 /* Internals of the runner.  runner.c starts and cancels runs, runner_table.c
-   keeps the tables of runs, runner_answer.c handles replies and failures and
+   keeps the tables of runs, runner_detach.c keeps idempotent runs whose link
+   was lost, runner_answer.c handles replies and failures and
    ends runs, and runner_probe.c sends health checks.  */
 
 #include "edge/runner.h"
@@ -27,11 +28,16 @@
   run_t *kept_next;   /* next run in the list of kept outcomes */
   run_t *open_next;   /* next run in the list of runs that have not ended */
   run_t *open_prev;
+  run_t *detached_next; /* next run in the list of detached runs */
+  run_t *detached_prev;
   run_state_t state;
   intake_entry_t intake_entry;
   call_sink_t sink;
   bool has_sink;         /* the reply is to be passed to SINK */
   bool in_attempt_table; /* the call must run at most once */
+  /* An idempotent run whose link was lost and which no query has resumed.  */
+  bool detached;
+  int64_t detached_until_us;
   bool from_backend;
   bool resent;        /* sent again, on a new connection */
   bool no_body;       /* the reply to HEAD has no body */
@@ -84,6 +90,10 @@
   run_t **kept_last;
   run_t *open_first;
   uint32_t open_count;
+  run_t *detached_first; /* in the order in which their links were lost */
+  run_t *detached_last;
+  uint32_t detached_count;
+  size_t detached_reply_bytes; /* of those that have ended */
   bool stopped; /* runner_stop was called; new calls are refused */
   runner_stats_t stats;
 };
@@ -93,6 +103,21 @@
 /* Sends RUN, which holds a slot, to the server.  */
 void run_send (run_t *run);
 
+/* Counts a failure of KIND and CAUSE and stores it in *FAILURE.  */
+start_verdict_t runner_refuse_call (runner_t *runner, call_failure_t *failure,
+                                    failure_kind_t kind, cause_t cause);
+
+/* Passes the kept outcome of RUN, which has ended, to SINK or, if it is a
+   failure, stores it in *FAILURE.  A reply that was too large to keep is
+   FAILURE_INVALID_REPLY.  */
+start_verdict_t run_replay_outcome (run_t *run, const call_sink_t *sink,
+                                    call_failure_t *failure);
+
+/* Makes SINK the sink of RUN.  The previous sink is given a failure, so that
+   at most one owner holds a pointer to the run.  */
+start_verdict_t run_replace_sink (run_t *run, const call_sink_t *sink,
+                                  call_failure_t *failure);
+
 /* --- runner_table.c ---------------------------------------------------- */
 
 /* The table of attempts that must run at most once, by id.
@@ -114,6 +139,29 @@
 /* Removes RUN from the table of attempts and frees it.  */
 void run_free (run_t *run);
 
+/* --- runner_detach.c --------------------------------------------------- */
+
+/* Keeps the outcome of RUN, which is detached and has ended, until its time is
+   over, or frees RUN if too many bytes are kept.  */
+void run_keep_detached_outcome (run_t *run);
+
+/* Answers CALL, a query for the outcome of an idempotent call: resumes the
+   run, passes on its outcome, or says that the call may have run.  Returns,
+   and sets *RUN and *FAILURE, as runner_start_call does.  */
+start_verdict_t runner_resume_detached (runner_t *runner,
+                                        const call_request_t *call,
+                                        const call_sink_t *sink, run_t **run,
+                                        call_failure_t *failure);
+
+/* Ends the detached runs whose time is over, or frees their outcomes.  */
+void runner_end_detached (runner_t *runner);
+
+/* Returns when runner_end_detached is next due, or INT64_MAX.  */
+int64_t runner_detached_due_us (const runner_t *runner);
+
+/* Frees the outcomes that are kept.  */
+void runner_free_detached (runner_t *runner);
+
 /* --- runner_answer.c --------------------------------------------------- */
 
 /* Returns the callbacks for the server's reply to RUN.  */
--- a/src/edge/serve.c
+++ b/src/edge/serve.c
@@ -72,7 +72,10 @@
 serve_cancel_call (peer_stream_t *stream)
 {
   served_call_t *served_call = peer_stream_user_data (stream);
-  run_cancel (served_call->run);
+  if (peer_stream_is_lost (stream))
+    run_detach (served_call->run);
+  else
+    run_cancel (served_call->run);
   free (served_call);
 }
 
--- a/src/edge/serve.h
+++ b/src/edge/serve.h
@@ -20,7 +20,7 @@
    for another service and not a query.  */
 void serve_call (serve_context_t *context, peer_stream_t *stream,
                  const call_request_t *call);
-/* Cancels the call of STREAM.  */
+/* Cancels the call of STREAM, or detaches its run if the link was lost.  */
 void serve_cancel_call (peer_stream_t *stream);
 /* Resumes reading the reply if STREAM accepts more data.  */
 void serve_on_credit (peer_stream_t *stream);
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -486,6 +486,35 @@
       (unsigned long long)store.reads, (unsigned long long)store.writes);
 }
 
+/* Logs what became of calls whose links were lost, since the start: those of
+   this sidecar's callers, and the idempotent runs for other sidecars.  */
+static void
+log_lost_calls (sidecar_t *sidecar)
+{
+  entry_stats_t entry = entry_stats (sidecar->entry);
+  runner_stats_t runner = runner_stats (sidecar->runner);
+  event_log_write (
+      &sidecar->log, EVENT_LIFECYCLE, "lost-calls",
+      "reads=%llu reads-answered=%llu reads-refused=%llu reads-unknown=%llu "
+      "bookings=%llu bookings-answered=%llu bookings-refused=%llu "
+      "bookings-unknown=%llu detached=%llu resumed=%llu replayed=%llu "
+      "expired=%llu not-detached=%llu queries-unknown=%llu",
+      (unsigned long long)entry.lost_reads.queried,
+      (unsigned long long)entry.lost_reads.answered,
+      (unsigned long long)entry.lost_reads.refused,
+      (unsigned long long)entry.lost_reads.unknown,
+      (unsigned long long)entry.lost_bookings.queried,
+      (unsigned long long)entry.lost_bookings.answered,
+      (unsigned long long)entry.lost_bookings.refused,
+      (unsigned long long)entry.lost_bookings.unknown,
+      (unsigned long long)runner.runs_detached,
+      (unsigned long long)runner.runs_resumed,
+      (unsigned long long)runner.runs_replayed,
+      (unsigned long long)runner.runs_detach_expired,
+      (unsigned long long)runner.runs_detach_refused,
+      (unsigned long long)runner.queries_unknown);
+}
+
 static void
 on_tick (struct ev_loop *ev, ev_timer *timer, int events)
 {
@@ -545,6 +574,7 @@
     {
       log_traffic_stats (sidecar);
       log_caller_stats (sidecar);
+      log_lost_calls (sidecar);
     }
   collect_ratios (sidecar);
   bool full = sidecar->report_count % FULL_REPORT_EVERY == 0;
--- a/src/mesh/call.h
+++ b/src/mesh/call.h
@@ -82,6 +82,8 @@
    server was lost.  PEER_RESTARTED: that sidecar has restarted since the call
    was sent.  NO_PEER: there is no link to it.  UNKNOWN: the peer, of a later
    version, gave a cause that this one does not know; it is not sent itself.
+   OUTCOME_NOT_KEPT: that sidecar knows no run of the idempotent call whose
+   outcome was asked for; it may have run.
 
    The values are sent between sidecars of different versions.  New causes go
    to the end.  */
@@ -107,7 +109,8 @@
   CAUSE (CRASH_SUSPECT, "crash-suspect")                                      \
   CAUSE (NO_PEER, "no-peer")                                                  \
   CAUSE (STOPPING, "stopping")                                                \
-  CAUSE (UNKNOWN, "unknown")
+  CAUSE (UNKNOWN, "unknown")                                                  \
+  CAUSE (OUTCOME_NOT_KEPT, "outcome-not-kept")
 
 typedef enum cause_t
 {
--- a/tests/mesh_resume_test.cc
+++ b/tests/mesh_resume_test.cc
@@ -1,14 +1,40 @@
-/* Links that are lost while both sidecars live.  Guards against members that
-   stay without a link.  */
+/* Calls whose link is lost while both sidecars live.  Guards against answers
+   that are thrown away, work that goes on for callers that have gone, and a
+   query that makes a request run again.  */
 
 #include "support_peer.h"
 
 namespace
 {
+enum stage_t
+{
+  STAGE_QUEUED,
+  STAGE_RUNNING,
+  STAGE_ENDED,      /* the server answers while there is no link */
+  STAGE_ENDED_LONG, /* likewise, with a reply too long to keep for a read */
+  STAGE_COUNT
+};
+const char *const stage_names[]
+    = { "Queued", "Running", "Ended", "EndedLong" };
+
+enum link_t
+{
+  LINK_BACK,
+  LINK_LATE, /* when the run of a read has been aborted */
+  LINK_NEVER,
+  LINK_RESTARTED, /* with a new process at its other end */
+  LINK_COUNT
+};
+const char *const link_names[] = { "Back", "Late", "Never", "Restarted" };
+
+const size_t LONG_BYTES = 70000;
+
 /* Loses the link from A to B, which stay.  */
 class LostLink : public Two
 {
 protected:
+  std::unique_ptr<Caller> blocker;
+
   void
   lose_link ()
   {
@@ -22,12 +48,253 @@
              && peer_set_stats (b->peers).links_lost > lost_at_b;
     }));
   }
+  void
+  tick (bool link_comes_back)
+  {
+    if (link_comes_back)
+      peer_set_tick (a->peers, true, true);
+    runner_tick (b->runner);
+  }
+  void
+  send_and_wait (int stage, Caller *caller, const std::string &text)
+  {
+    if (stage == STAGE_QUEUED)
+      {
+        intake_server_t server = { 1, true, false, false, 0, 0 };
+        runner_set_server (b->runner, &server, "i");
+        blocker = std::make_unique<Caller> (http_server_port (a->callers));
+        blocker->send (request ("POST", "/book/0", "id-0"));
+        ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+        caller->send (text);
+        ASSERT_TRUE (
+            wait ([&] { return runner_server_load (b->runner).queued == 1; }));
+        return;
+      }
+    caller->send (text);
+    ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  }
+  void
+  answer_open (const std::string &body)
+  {
+    std::vector<http_exchange_t *> open;
+    open.swap (backend->open);
+    for (http_exchange_t *exchange : open)
+      answer_signed (exchange, id_of (exchange), body);
+  }
+  size_t
+  run_count (const std::string &id)
+  {
+    size_t count = 0;
+    for (const std::string &fields : backend->fields)
+      count
+          += fields.find ("X-Attempt-Id: " + id + "\r\n") != std::string::npos;
+    return count;
+  }
 };
 
+/* Stage of the request, what becomes of the link, whether it is a booking.  */
+typedef std::tuple<int, int, bool> lost_row_t;
+
+class LostCall : public LostLink,
+                 public testing::WithParamInterface<lost_row_t>
+{
+protected:
+  /* Status that the caller must get; 0 if more than one is right.  */
+  static int
+  expected_status (int stage, int link, bool booking)
+  {
+    if (booking && link == LINK_NEVER)
+      return 504;
+    if (booking && link == LINK_RESTARTED)
+      return 502;
+    if (booking && stage == STAGE_QUEUED)
+      return 503; /* dropped with its link */
+    if (booking)
+      return stage == STAGE_ENDED_LONG ? 502 : 200;
+    if (link == LINK_BACK)
+      return stage == STAGE_ENDED_LONG ? 0 : 200;
+    return 502;
+  }
+};
+
+TEST_P (LostCall, IsAnsweredWhileBothSidesLive)
+{
+  const auto [stage, link, booking] = GetParam ();
+  Caller caller (http_server_port (a->callers));
+  ASSERT_NO_FATAL_FAILURE (
+      send_and_wait (stage, &caller,
+                     request (booking ? "POST" : "GET",
+                              booking ? "/book/1" : "/read/1", "id-1")));
+  vm_id_t b_vm = peer_set_own_vm (b->peers);
+  if (link != LINK_BACK)
+    peer_set_remove (a->peers, b_vm); /* so that no link to it is opened */
+  ASSERT_NO_FATAL_FAILURE (lose_link ());
+  if (stage == STAGE_ENDED || stage == STAGE_ENDED_LONG)
+    {
+      answer_open (stage == STAGE_ENDED ? "done"
+                                        : std::string (LONG_BYTES, 'x'));
+      ASSERT_TRUE (
+          wait ([&] { return runner_open_run_count (b->runner) == 0; }));
+    }
+  if (link == LINK_RESTARTED)
+    {
+      b.reset ();
+      start_b (201, b_port.port);
+    }
+  int64_t lost_us = loop.now_us;
+  ASSERT_TRUE (wait ([&] {
+    tick (false);
+    return link != LINK_LATE
+           || (loop.now_us - lost_us > DETACHED_RUN_US
+               && (booking || caller.has ("\r\n\r\n")));
+  }));
+  if (link != LINK_NEVER)
+    peer_set_add (a->peers, b_vm);
+  backend->answer = [] (http_exchange_t *exchange) {
+    answer_signed (exchange, id_of (exchange), "done");
+  };
+  bool relinked = false;
+  EXPECT_TRUE (wait ([&] {
+    tick (link != LINK_NEVER);
+    relinked = relinked || peer_set_stats (a->peers).peers_up == 1;
+    if (relinked && runner_stats (b->runner).runs_started > 0)
+      answer_open ("done");
+    return caller.has ("\r\n\r\n") || caller.ended;
+  }));
+  int status = atoi (caller.got.c_str () + strlen ("HTTP/1.1 "));
+  int expected = expected_status (stage, link, booking);
+  EXPECT_TRUE (expected == 0 ? status == 200 || status == 502
+                             : status == expected)
+      << expected << ": " << caller.got.substr (0, 200);
+  EXPECT_LE (run_count ("id-1"), booking || link == LINK_BACK ? 1u : 2u);
+  EXPECT_TRUE (wait ([&] {
+    tick (link != LINK_NEVER);
+    answer_open ("done");
+    return runner_open_run_count (b->runner) == 0;
+  }));
+}
+
+INSTANTIATE_TEST_SUITE_P (
+    Table, LostCall,
+    testing::Combine (testing::Range (0, (int)STAGE_COUNT),
+                      testing::Range (0, (int)LINK_COUNT), testing::Bool ()),
+    [] (const auto &row) {
+      return std::string (stage_names[std::get<0> (row.param)])
+             + link_names[std::get<1> (row.param)]
+             + (std::get<2> (row.param) ? "Booking" : "Read");
+    });
+
 TEST_F (LostLink, LinkIsOpenedAgainAtOnce)
 {
   ASSERT_NO_FATAL_FAILURE (lose_link ());
   /* Without a tick.  */
   EXPECT_TRUE (wait ([&] { return peer_set_stats (a->peers).peers_up == 1; }));
 }
+
+/* --- callers that go ------------------------------------------------------
+ */
+
+TEST_F (LostLink, ReadIsAbortedWhenItsCallerGoesBeforeTheLinkIsBack)
+{
+  Caller caller (http_server_port (a->callers));
+  ASSERT_NO_FATAL_FAILURE (send_and_wait (STAGE_RUNNING, &caller,
+                                          request ("GET", "/read/1", "id-1")));
+  ASSERT_NO_FATAL_FAILURE (lose_link ());
+  caller.shut ();
+  EXPECT_TRUE (wait ([&] {
+    tick (true);
+    return backend->gone == 1;
+  }));
+  EXPECT_EQ (1u, run_count ("id-1"));
+}
+
+TEST_F (LostLink, ResumedReadIsAbortedAtOnceWhenItsCallerGoes)
+{
+  Caller caller (http_server_port (a->callers));
+  ASSERT_NO_FATAL_FAILURE (send_and_wait (STAGE_RUNNING, &caller,
+                                          request ("GET", "/read/1", "id-1")));
+  ASSERT_NO_FATAL_FAILURE (lose_link ());
+  ASSERT_TRUE (wait ([&] {
+    tick (true);
+    return runner_stats (b->runner).runs_resumed == 1;
+  }));
+  caller.shut ();
+  /* Without ticks no run is aborted for its age.  */
+  EXPECT_TRUE (wait ([&] { return backend->gone == 1; }));
+  EXPECT_EQ (1u, run_count ("id-1"));
+}
+
+TEST_F (LostLink, ReadIsResumedAgainWhenItsNextLinkIsLost)
+{
+  Caller caller (http_server_port (a->callers));
+  ASSERT_NO_FATAL_FAILURE (send_and_wait (STAGE_RUNNING, &caller,
+                                          request ("GET", "/read/1", "id-1")));
+  for (uint64_t i = 1; i <= 3; i++)
+    {
+      ASSERT_NO_FATAL_FAILURE (lose_link ());
+      ASSERT_TRUE (wait ([&] {
+        tick (true);
+        return runner_stats (b->runner).runs_resumed == i;
+      }));
+    }
+  answer_open ("done");
+  EXPECT_TRUE (wait ([&] { return caller.has ("done"); }));
+  EXPECT_EQ (1u, run_count ("id-1"));
+}
+
+/* --- queries at the runner ------------------------------------------------
+ */
+
+class ReadQuery : public Runs
+{
+protected:
+  call_request_t
+  query (const char *id)
+  {
+    call_request_t made = call (id, true);
+    made.asks_outcome = true;
+    made.incarnation = 200;
+    return made;
+  }
+  start_verdict_t
+  ask (const call_request_t &query)
+  {
+    run_t *run = nullptr;
+    return runner_start_call (b->runner, &query, &sink, &run, &failure);
+  }
+};
+
+TEST_F (ReadQuery, UnknownReadMayHaveRunAndCanStillBeSent)
+{
+  EXPECT_EQ (START_FAILED, ask (query ("id-1")));
+  EXPECT_EQ (FAILURE_OUTCOME_UNKNOWN, failure.kind);
+  EXPECT_EQ (CAUSE_OUTCOME_NOT_KEPT, failure.cause);
+  EXPECT_EQ (0u, runner_open_run_count (b->runner));
+  start (call ("id-1", true));
+  EXPECT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+}
+
+TEST_F (ReadQuery, AnotherRequestWithTheSameIdDoesNotGetTheReply)
+{
+  run_detach (start (call ("id-1", true)));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  call_request_t other = query ("id-1");
+  other.target = "/other";
+  EXPECT_EQ (START_FAILED, ask (other));
+  EXPECT_EQ (FAILURE_OUTCOME_UNKNOWN, failure.kind);
+  EXPECT_EQ (START_ACCEPTED, ask (query ("id-1")));
+}
+
+TEST_F (ReadQuery, KeptReplyIsGivenOnceAndFreed)
+{
+  run_detach (start (call ("id-1", true)));
+  ASSERT_TRUE (wait ([&] { return backend->open.size () == 1; }));
+  answer_signed (backend->open[0], "id-1", "x");
+  backend->open.clear ();
+  ASSERT_TRUE (wait ([&] { return runner_open_run_count (b->runner) == 0; }));
+  EXPECT_EQ (START_ANSWERED, ask (query ("id-1")));
+  EXPECT_EQ (1, ended);
+  EXPECT_EQ (START_FAILED, ask (query ("id-1")));
+  EXPECT_EQ (1u, backend->targets.size ());
+}
 }
