Aborted response: the responses before it arrive whole

What callers saw: a caller with several requests on one connection, of which one response was broken off half-way, also lost the complete responses before it, or their rest.

Cause: the connection was closed at once. What the socket had not taken was thrown away; and with bytes unread the close reset the connection, and the kernel dropped what it had not delivered.

Evidence: Abort.LeavesTheResponsesBeforeItWhole on the code before: the rows InTheSocketWithBytesUnread, NotTakenByTheSocket and NotTakenByTheSocketWithBytesUnread failed without the whole first response, the two with bytes unread with a reset; InTheSocket passed. Now all pass.

Why it works: the output is sent first, and then the connection ends as after a last response: write side shut down, input discarded. The caller still sees that the response is incomplete by its length or missing last chunk. A response that only the end of the connection ends (HTTP/1.0) is reset as before, as it would look complete otherwise.

Requests without a response are counted when that is decided, not when the connection is finally closed.

--- a/src/edge/http_answer.c
+++ b/src/edge/http_answer.c
@@ -168,12 +168,12 @@
       http_respond (exchange, HTTP_STATUS_BAD_GATEWAY, NULL, 0, NULL, 0);
       return;
     }
-  if (!exchange->ends_at_close)
-    connection_send_output (connection);
-  exchange->response_state = HTTP_RESPONSE_COMPLETE;
-  connection->close_report.unanswered_requests++;
+  exchange->dispatched = false; /* the handler expects no caller_gone */
   connection->server->stats.open_exchanges--;
-  connection_close (connection, HTTP_CLOSE_ABORTED);
+  if (exchange->ends_at_close)
+    connection_close (connection, HTTP_CLOSE_ABORTED);
+  else
+    connection_close_after_output (connection, HTTP_CLOSE_ABORTED);
 }
 
 void
--- a/src/edge/http_connection.c
+++ b/src/edge/http_connection.c
@@ -64,15 +64,21 @@
   server->handler.caller_gone (server->handler.ctx, exchange);
 }
 
+/* Counts the requests without a complete response by the recorded reason of
+   the close.  */
 static void
 free_exchanges (http_connection_t *connection)
 {
+  http_close_report_t *report = &connection->close_report;
+  uint64_t *unanswered
+      = &connection->server->stats.unanswered_counts[report->reason];
   while (connection->first_exchange != NULL)
     {
       http_exchange_t *exchange = connection->first_exchange;
       connection->first_exchange = exchange->next;
       bool complete = exchange->response_state == HTTP_RESPONSE_COMPLETE;
-      connection->close_report.unanswered_requests += !complete;
+      report->unanswered_requests += !complete;
+      *unanswered += !complete;
       if (exchange->dispatched && !complete)
         notify_caller_gone (exchange);
       connection_free_exchange (exchange);
@@ -90,7 +96,6 @@
 count_close (http_server_stats_t *stats, const http_close_report_t *report)
 {
   stats->close_counts[report->reason]++;
-  stats->unanswered_counts[report->reason] += report->unanswered_requests;
   stats->responses_behind_counts[report->reason] += report->responses_behind;
   stats->unread_counts[report->reason] += report->unread_bytes > 0;
   if (report->reason != HTTP_CLOSE_CALLER)
@@ -140,6 +145,9 @@
 record_close_reason (http_connection_t *connection, http_close_reason_t reason)
 {
   http_server_t *server = connection->server;
+  if (connection->close_decided)
+    return;
+  connection->close_decided = true;
   connection->close_report.reason = reason;
   connection->close_report.no_progress_us
       = server->loop->now_us - connection->last_progress_us;
@@ -149,24 +157,29 @@
             : server->limits.idle_timeout_us;
 }
 
-/* Records which requests have no complete response, and which input was not
-   handled.  */
+/* Records which requests have no complete response.  */
 static void
-record_unfinished (http_connection_t *connection)
+record_unanswered (http_connection_t *connection)
 {
   http_close_report_t *report = &connection->close_report;
   const http_exchange_t *first = connection->first_exchange;
+  if (first == NULL)
+    return;
+  report->responses_behind = http_responses_behind (first);
+  report->oldest_unanswered_us
+      = connection->server->loop->now_us - first->first_byte_us;
+}
+
+/* Records which input was not handled, and which output not sent.  */
+static void
+record_unfinished (http_connection_t *connection)
+{
+  http_close_report_t *report = &connection->close_report;
   int fd = connection->reader.fd;
-  if (first != NULL)
-    {
-      report->responses_behind = http_responses_behind (first);
-      report->oldest_unanswered_us
-          = connection->server->loop->now_us - first->first_byte_us;
-    }
   report->unread_bytes = (uint32_t)loop_unread_bytes (fd);
   report->unparsed_bytes = (uint32_t)(bytes_size (&connection->unparsed_input)
                                       + connection->rest_bytes);
-  report->partly_read = connection->incoming != NULL;
+  report->partly_read |= connection->incoming != NULL;
   report->unsent_bytes = (uint32_t)bytes_size (&connection->output);
   report->unacked_bytes = (uint32_t)loop_unacked_bytes (fd);
 }
@@ -190,8 +203,8 @@
   if (connection->closed)
     return;
   connection->closed = true;
-  if (!connection->lingering)
-    record_close_reason (connection, reason);
+  record_close_reason (connection, reason);
+  record_unanswered (connection);
   record_unfinished (connection);
   ev_io_stop (server->loop->ev, &connection->reader);
   ev_io_stop (server->loop->ev, &connection->writer);
@@ -239,6 +252,22 @@
     }
 }
 
+void
+connection_close_after_output (http_connection_t *connection,
+                               http_close_reason_t reason)
+{
+  record_close_reason (connection, reason);
+  record_unanswered (connection);
+  connection->close_report.partly_read = connection->incoming != NULL;
+  connection->last_request_read = true;
+  connection->close_after_flush = true;
+  connection->reading_paused = false;
+  ev_io_start (connection->server->loop->ev, &connection->reader);
+  free_exchanges (connection);
+  connection_send_output (connection);
+  connection_schedule_flush (connection);
+}
+
 /* The connection is read until the caller closes it or a time-out passes:
    closing a socket with unread bytes would reset the connection, and the
    caller could lose the last response.  */
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -275,8 +275,9 @@
                       size_t size);
 /* The exchange must not be used after this or http_abort_response.  */
 void http_end_response (http_exchange_t *exchange);
-/* Aborts the response by closing the connection, or responds with 502 if
-   responses to earlier requests are still to be sent.  */
+/* Aborts the response by closing the connection once all output is sent, or
+   responds with 502 if responses to earlier requests are still to be made.
+   The connection's other open requests end without a response.  */
 void http_abort_response (http_exchange_t *exchange);
 
 /* Returns how many complete responses wait until this one is complete.  */
--- a/src/edge/http_server_impl.h
+++ b/src/edge/http_server_impl.h
@@ -57,6 +57,7 @@
   bool reading_paused;
   bool last_request_read; /* no further request is read */
   bool close_after_flush; /* close when all output is sent */
+  bool close_decided;     /* and its reason recorded */
   bool lingering; /* write side shut down, reads until the caller closes */
   bool late_malformed; /* the discarded bytes are not valid requests */
   bool closed;
@@ -88,7 +89,7 @@
 void connection_open (http_server_t *server, int fd, uint32_t caller_ip);
 
 /* Closes the connection for REASON, or for the reason that was recorded when
-   it began to linger.  The connection stays allocated until
+   its close was decided.  The connection stays allocated until
    connection_free_closed.  */
 void connection_close (http_connection_t *connection,
                        http_close_reason_t reason);
@@ -98,6 +99,11 @@
 void connection_close_ended (http_connection_t *connection,
                              http_caller_end_t end, int error);
 
+/* Decides to close the connection for REASON once all output is sent.  Its
+   open requests end without a response, and no further one is read.  */
+void connection_close_after_output (http_connection_t *connection,
+                                    http_close_reason_t reason);
+
 /* Shuts down the write side after the last response, and discards what the
    caller still sends until it closes.  */
 void connection_linger (http_connection_t *connection);
--- a/tests/mesh_owed_test.cc
+++ b/tests/mesh_owed_test.cc
@@ -209,6 +209,50 @@
                             return std::string (row.param.name);
                           });
 
+/* --- aborted responses --------------------------------------------------- */
+
+struct AbortRow
+{
+  const char *name;
+  size_t before_size; /* of the response before the aborted one */
+  bool unread;        /* bytes have arrived that were not read */
+};
+
+class Abort : public Owed, public testing::WithParamInterface<AbortRow>
+{
+};
+
+TEST_P (Abort, LeavesTheResponsesBeforeItWhole)
+{
+  const AbortRow &row = GetParam ();
+  start (patient_limits (), row.before_size);
+  send_until_read (LARGE + HELD, 2);
+  http_start_response (held[0], 200, nullptr, 0, 10);
+  if (row.unread)
+    caller->send (HELD);
+  http_abort_response (held[0]);
+  ASSERT_TRUE (wait ([&] { return caller->is_over () || caller->reset; }));
+  EXPECT_NE (std::string::npos, caller->got.find (large));
+  EXPECT_FALSE (caller->reset);
+  caller->shut ();
+  ASSERT_TRUE (wait ([&] { return stats ().connections == 0; }));
+  EXPECT_EQ (1u, stats ().close_counts[HTTP_CLOSE_ABORTED]);
+  EXPECT_EQ (1u, stats ().unanswered_counts[HTTP_CLOSE_ABORTED]);
+  EXPECT_EQ (0u, stats ().open_exchanges);
+}
+
+const AbortRow abort_rows[] = {
+  { "InTheSocket", FITS_SOCKET_BYTES, false },
+  { "InTheSocketWithBytesUnread", FITS_SOCKET_BYTES, true },
+  { "NotTakenByTheSocket", EXCEEDS_SOCKET_BYTES, false },
+  { "NotTakenByTheSocketWithBytesUnread", EXCEEDS_SOCKET_BYTES, true },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, Abort, testing::ValuesIn (abort_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+
 /* --- callers that read slowly -------------------------------------------- */
 
 struct SlowRow
