Callers' connections: a server with a limit makes room, refuses or waits

A caller's connection kept its descriptor until it had rested for the idle limit, and nothing limited their number. When the last descriptor was taken, callers waited in the kernel's queue until their deadline, with neither an answer nor a refusal.

http_server_set_connection_limits gives a server a number of connections. - From seven eighths of it on, responses announce the end of their connection, as in a drain, unless more requests wait on it. - At the limit, connections that have rested longest are closed, by the path of the idle limit: what has arrived on one is read first, and it stays open if a request has begun. At least 0.1 s of rest, or 0.5 s for a first request. - If none rests, a connection is taken beyond the limit; its request is refused with 503 and Retry-After, unrun, and the connection closed. It is served if room was made in the meantime. - If too many are being refused, accepting pauses until one ends. A stop leaves the listener open while callers wait and there is no room for them, up to its end.

mesh_descriptors_test: with the check of the limit turned off, 6 of the 9 new tests fail (LongestRestMakesRoomForANewCaller: 0 closed for room; CallersBeyondItAreAnsweredOrRefused, SilentCallersDoNotHoldThePlaceOfRefusals, LoopDoesNotSpinWhileNoPlaceIsLeft, ResponsesCloseToItAnnounceTheClose, CallersThatWaitAreNotLeftByAStop); the other three guard the new paths.

--- a/src/edge/http_answer.c
+++ b/src/edge/http_answer.c
@@ -13,6 +13,19 @@
                                                 : &exchange->output;
 }
 
+enum
+{
+  ROOM_KEPT_DIVISOR = 8 /* part of a server's connections */
+};
+
+/* Number of connections below the limit from which responses announce the end
+   of their connection.  */
+static uint32_t
+room_kept (const http_server_t *server)
+{
+  return server->connection_limits.served / ROOM_KEPT_DIVISOR;
+}
+
 /* Whether no request follows this one on its connection, or has arrived.  Only
    known while no response to an earlier request is pending, as the connection
    is read until then.  */
@@ -20,7 +33,10 @@
 is_last_response (const http_exchange_t *exchange)
 {
   const http_connection_t *connection = exchange->connection;
-  if (exchange->close_after || !connection->server->draining)
+  const http_server_t *server = connection->server;
+  bool closing
+      = server->draining || server_is_full (server, room_kept (server));
+  if (exchange->close_after || !closing)
     return exchange->close_after;
   return connection->first_exchange == exchange && exchange->next == NULL
          && connection->incoming == NULL && connection->rest_bytes == 0
--- a/src/edge/http_connection.c
+++ b/src/edge/http_connection.c
@@ -133,6 +133,7 @@
   INVARIANT (report->unanswered_requests == 0
                  || (report->reason != HTTP_CLOSE_IDLE
                      && report->reason != HTTP_CLOSE_DRAINED
+                     && report->reason != HTTP_CLOSE_ROOM
                      && report->reason != HTTP_CLOSE_COMPLETED),
              "a connection closed as %s left %u requests without a response",
              http_close_reason_name (report->reason),
@@ -196,6 +197,42 @@
                 sizeof reset_on_close);
 }
 
+static void
+link_at_front (http_connection_t *connection)
+{
+  http_server_t *server = connection->server;
+  connection->prev = NULL;
+  connection->next = server->connections;
+  if (server->connections != NULL)
+    server->connections->prev = connection;
+  else
+    server->last_connection = connection;
+  server->connections = connection;
+}
+
+static void
+unlink_connection (http_connection_t *connection)
+{
+  http_server_t *server = connection->server;
+  if (connection->prev != NULL)
+    connection->prev->next = connection->next;
+  else
+    server->connections = connection->next;
+  if (connection->next != NULL)
+    connection->next->prev = connection->prev;
+  else
+    server->last_connection = connection->prev;
+}
+
+void
+connection_move_to_front (http_connection_t *connection)
+{
+  if (connection->prev == NULL)
+    return;
+  unlink_connection (connection);
+  link_at_front (connection);
+}
+
 void
 connection_close (http_connection_t *connection, http_close_reason_t reason)
 {
@@ -214,12 +251,7 @@
   close (connection->reader.fd);
   free_exchanges (connection);
   report_close (connection);
-  if (connection->prev != NULL)
-    connection->prev->next = connection->next;
-  else
-    server->connections = connection->next;
-  if (connection->next != NULL)
-    connection->next->prev = connection->prev;
+  unlink_connection (connection);
   server->stats.connections--;
   acceptor_resume (&server->acceptor);
   /* Functions further up the stack may still use the connection.  */
@@ -321,6 +353,7 @@
       bytes_consume (&connection->output, (size_t)sent);
       connection->sent_bytes += (uint64_t)sent;
       connection->last_progress_us = connection->server->loop->now_us;
+      connection_move_to_front (connection);
       connection->stalled_since_us = 0;
       if (connection->incoming == NULL)
         connection->limits = connection->server->limits;
@@ -363,7 +396,7 @@
     loop_defer (connection->server->loop, &connection->flush_task);
 }
 
-void
+http_connection_t *
 connection_open (http_server_t *server, int fd, uint32_t caller_ip)
 {
   http_connection_t *connection = calloc (1, sizeof *connection);
@@ -385,10 +418,8 @@
   ev_io_init (&connection->writer, on_writable, fd, EV_WRITE);
   connection->reader.data = connection;
   connection->writer.data = connection;
-  connection->next = server->connections;
-  if (server->connections != NULL)
-    server->connections->prev = connection;
-  server->connections = connection;
+  link_at_front (connection);
   server->stats.connections++;
   ev_io_start (server->loop->ev, &connection->reader);
+  return connection;
 }
--- a/src/edge/http_reader.c
+++ b/src/edge/http_reader.c
@@ -12,8 +12,8 @@
   connection->waiting_count++;
 }
 
-void
-connection_refuse_request (http_connection_t *connection, int status)
+static void
+refuse_request (http_connection_t *connection, int status, const char *headers)
 {
   const http_handler_t *handler = &connection->server->handler;
   http_exchange_t *exchange = connection->incoming;
@@ -28,7 +28,13 @@
     exchange->deadline_us
         = handler->refused_deadline_us (handler->ctx, exchange);
   append_exchange (connection, exchange);
-  http_respond (exchange, status, NULL, 0, NULL, 0);
+  http_respond (exchange, status, headers, strlen (headers), NULL, 0);
+}
+
+void
+connection_refuse_request (http_connection_t *connection, int status)
+{
+  refuse_request (connection, status, "");
 }
 
 /* Stops the parser; the request is refused with STATUS.  */
@@ -227,6 +233,18 @@
   ev_io_stop (connection->server->loop->ev, &connection->reader);
 }
 
+/* Whether the connection is beyond the limit and no room was made since it was
+   accepted.  */
+static bool
+has_no_room (http_connection_t *connection)
+{
+  const http_server_t *server = connection->server;
+  if (connection->beyond_limit
+      && server->stats.connections <= server->connection_limits.served)
+    connection->beyond_limit = false;
+  return connection->beyond_limit;
+}
+
 /* Passes the complete incoming request to the handler.  */
 static void
 handle_request (http_connection_t *connection)
@@ -234,6 +252,13 @@
   http_server_t *server = connection->server;
   http_exchange_t *exchange = connection->incoming;
 
+  if (has_no_room (connection))
+    {
+      connection->close_report.requests++;
+      server->stats.refused_for_room++;
+      refuse_request (connection, 503, "Retry-After: 1\r\n");
+      return;
+    }
   connection->incoming = NULL;
   connection->close_report.requests++;
   exchange->last_byte_us = server->loop->now_us;
@@ -350,6 +375,7 @@
   if (connection_close_if_caller_closed (connection))
     return;
   connection->last_progress_us = server->loop->now_us;
+  connection_move_to_front (connection);
   parse (connection, server->read_buffer, (size_t)size);
 }
 
--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -10,10 +10,10 @@
 };
 
 static const char *const close_reason_names[HTTP_CLOSE_REASON_COUNT] = {
-  [HTTP_CLOSE_CALLER] = "caller", [HTTP_CLOSE_COMPLETED] = "answered",
-  [HTTP_CLOSE_IDLE] = "idle",     [HTTP_CLOSE_DRAINED] = "drained",
-  [HTTP_CLOSE_UNREAD] = "unread", [HTTP_CLOSE_ABORTED] = "broken",
-  [HTTP_CLOSE_FREED] = "freed",
+  [HTTP_CLOSE_CALLER] = "caller",  [HTTP_CLOSE_COMPLETED] = "answered",
+  [HTTP_CLOSE_IDLE] = "idle",      [HTTP_CLOSE_DRAINED] = "drained",
+  [HTTP_CLOSE_ROOM] = "room",      [HTTP_CLOSE_UNREAD] = "unread",
+  [HTTP_CLOSE_ABORTED] = "broken", [HTTP_CLOSE_FREED] = "freed",
 };
 
 static const char *const caller_end_names[HTTP_CALLER_END_COUNT] = {
@@ -68,15 +68,30 @@
 
 /* --- the listener ------------------------------------------------------ */
 
-/* Returns false when no connection waits, or accepting it failed.  */
+/* Returns false when no connection waits, there is no room for it, or
+   accepting it failed.  */
 static bool
 accept_connection (http_server_t *server)
 {
+  const http_connection_limits_t *limits = &server->connection_limits;
   uint32_t caller_ip;
+  if (server_is_full (server, 0))
+    server_make_room (server);
+  bool beyond_limit = server_is_full (server, 0);
+  if (beyond_limit
+      && server->stats.connections >= limits->served + limits->refused)
+    {
+      acceptor_pause (&server->acceptor);
+      return false;
+    }
   int fd = acceptor_take (&server->acceptor, &caller_ip);
   if (fd < 0)
-    return false;
-  connection_open (server, fd, caller_ip);
+    {
+      if (acceptor_is_paused (&server->acceptor))
+        server_make_room (server);
+      return false;
+    }
+  connection_open (server, fd, caller_ip)->beyond_limit = beyond_limit;
   return true;
 }
 
@@ -120,9 +135,12 @@
 {
   if (!server->acceptor.open)
     return;
+  server->stopping_to_listen = true;
+  acceptor_resume (&server->acceptor);
   while (accept_connection (server))
     ;
-  acceptor_close (&server->acceptor);
+  if (!acceptor_is_paused (&server->acceptor))
+    acceptor_close (&server->acceptor);
 }
 
 void
@@ -131,6 +149,7 @@
   if (server == NULL)
     return;
   http_server_stop_listening (server);
+  acceptor_close (&server->acceptor);
   ev_timer_stop (server->loop->ev, &server->sweep_timer);
   while (server->connections != NULL)
     connection_close (server->connections, HTTP_CLOSE_FREED);
@@ -181,6 +200,20 @@
   server->next_limits = *limits;
 }
 
+void
+http_server_set_connection_limits (http_server_t *server,
+                                   const http_connection_limits_t *limits)
+{
+  server->connection_limits = *limits;
+}
+
+bool
+server_is_full (const http_server_t *server, uint32_t count)
+{
+  uint32_t served = server->connection_limits.served;
+  return served > 0 && server->stats.connections + count >= served;
+}
+
 bool
 http_server_has_unacked_output (const http_server_t *server)
 {
@@ -200,7 +233,8 @@
     if (connection->incoming != NULL
         || (server->draining && connection_awaits_first_request (connection)))
       return true;
-  return http_server_has_unacked_output (server);
+  return (server->stopping_to_listen && server->acceptor.open)
+         || http_server_has_unacked_output (server);
 }
 
 http_unhandled_input_t
@@ -221,6 +255,7 @@
 http_server_stop_reading (http_server_t *server)
 {
   http_server_stop_listening (server);
+  acceptor_close (&server->acceptor);
   for (http_connection_t *connection = server->connections; connection != NULL;
        connection = connection->next)
     {
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -129,6 +129,24 @@
 void http_server_set_limits (http_server_t *server,
                              const http_limits_t *limits, int64_t notice_us);
 
+/* How many connections a server may have.  Zeroed memory allows any
+   number.  */
+typedef struct http_connection_limits_t
+{
+  uint32_t served; /* 0 is unlimited */
+  /* Beyond those, to read and refuse one request each.  */
+  uint32_t refused;
+} http_connection_limits_t;
+
+/* Sets new limits; connections that are open stay open.  Close to the limit
+   responses announce the end of their connection, unless more requests wait on
+   it.  At the limit, a connection that has rested for long makes room for a
+   new one.  If none has, the request of the new one is refused with 503, and
+   if too many are being refused, accepting pauses.  */
+void
+http_server_set_connection_limits (http_server_t *server,
+                                   const http_connection_limits_t *limits);
+
 /* From now on each response closes its connection, unless more requests wait
    on it, and idle connections are closed.  A new connection is given time to
    bring its first request.  */
@@ -149,8 +167,8 @@
 http_server_unhandled_input (const http_server_t *server);
 
 /* Whether http_server_has_unacked_output, or a request has been read in part,
-   or, while the server drains, a new connection waits for its first
-   request.  */
+   or, while the server drains, a new connection waits for its first request,
+   or http_server_stop_listening has left connections that wait.  */
 bool http_server_is_busy (const http_server_t *server);
 
 /* Stops listening and reading, even if data has arrived, and sends the
@@ -158,7 +176,9 @@
    the kernel, which therefore resets the connection when it is closed.  */
 void http_server_stop_reading (http_server_t *server);
 
-/* Accepts the connections that wait for it, then no more.  */
+/* Accepts the connections that wait for it, then no more.  If they are too
+   many, goes on listening; to be called again until http_server_is_busy
+   returns false.  */
 void http_server_stop_listening (http_server_t *server);
 
 /* Returns the port that the server listens on.  */
@@ -179,6 +199,7 @@
   HTTP_CLOSE_COMPLETED, /* after the last response */
   HTTP_CLOSE_IDLE,      /* no request for the idle limit */
   HTTP_CLOSE_DRAINED,   /* idle while the server drains */
+  HTTP_CLOSE_ROOM,      /* idle while the server has no room */
   HTTP_CLOSE_UNREAD,    /* its caller has stopped reading a response */
   HTTP_CLOSE_ABORTED,   /* a response was aborted */
   HTTP_CLOSE_FREED,     /* the server was freed */
@@ -231,6 +252,7 @@
   uint32_t open_exchanges;
   uint64_t body_bytes;
   uint64_t malformed_requests; /* requests that the server itself refused */
+  uint64_t refused_for_room;   /* those of them beyond the connection limit */
   /* Connections found closed before the data read from them was parsed, or
      while reading from them was paused.  */
   uint64_t reads_abandoned;
--- a/src/edge/http_server_impl.h
+++ b/src/edge/http_server_impl.h
@@ -54,6 +54,7 @@
   int parse_error_status; /* HTTP status to refuse the request with, or 0 */
   http_close_report_t close_report;
   bool request_begun; /* the first byte of any request has been read */
+  bool beyond_limit;  /* accepted only to be refused, unless room is made */
   bool reading_paused;
   bool last_request_read; /* no further request is read */
   bool close_after_flush; /* close when all output is sent */
@@ -72,7 +73,12 @@
   http_handler_t handler;
   acceptor_t acceptor;
   ev_timer sweep_timer;
+  /* The one that last received or sent data first.  */
   http_connection_t *connections;
+  http_connection_t *last_connection;
+  http_connection_limits_t connection_limits;
+  uint64_t full_iteration; /* of the loop, in which no connection rested */
+  bool stopping_to_listen;
   loop_task_t free_closed_task;
   http_connection_t *closed_connections;
   bool draining;
@@ -86,7 +92,12 @@
 /* --- http_connection.c -------------------------------------------------- */
 
 /* Takes over FD, an accepted socket, and starts to read from it.  */
-void connection_open (http_server_t *server, int fd, uint32_t caller_ip);
+http_connection_t *connection_open (http_server_t *server, int fd,
+                                    uint32_t caller_ip);
+
+/* Moves the connection, which has received or sent data, to the front of the
+   server's list.  */
+void connection_move_to_front (http_connection_t *connection);
 
 /* Closes the connection for REASON, or for the reason that was recorded when
    its close was decided.  The connection stays allocated until
@@ -136,6 +147,9 @@
    request.  */
 void connection_refuse_request (http_connection_t *connection, int status);
 
+/* Whether the server has its limit of connections, less COUNT, or more.  */
+bool server_is_full (const http_server_t *server, uint32_t count);
+
 /* Closes the connection and returns true if its caller has closed it.  */
 bool connection_close_if_caller_closed (http_connection_t *connection);
 
@@ -152,6 +166,9 @@
 void connection_close_idle (http_connection_t *connection,
                             http_close_reason_t reason);
 
+/* Closes some of the connections that have rested longest.  */
+void server_make_room (http_server_t *server);
+
 /* Closes a connection, or refuses its request, that has made no progress for
    too long.  */
 void connection_check_timeouts (http_connection_t *connection);
--- a/tests/mesh_descriptors_test.cc
+++ b/tests/mesh_descriptors_test.cc
@@ -115,4 +115,185 @@
   EXPECT_GE (TURNS_WITHOUT_SPIN, turns (&loop));
   EXPECT_LE (1u, peer_set_stats (a->peers).accepting.failures);
 }
+
+/* --- a limited number of connections ----------------------------------- */
+
+const std::string HELD = "GET /held HTTP/1.1\r\nHost: h\r\n\r\n";
+
+class ConnectionLimit : public Descriptors
+{
+protected:
+  void
+  limit (uint32_t served, uint32_t refused)
+  {
+    http_connection_limits_t made = { served, refused };
+    http_server_set_connection_limits (server->server, &made);
+  }
+  /* Turns the loop for US.  */
+  void
+  rest (int64_t us)
+  {
+    wait ([] { return false; }, us);
+  }
+  bool
+  wait_for_held (size_t count)
+  {
+    return wait ([&] { return server->open.size () == count; });
+  }
+};
+
+TEST_F (ConnectionLimit, LongestRestMakesRoomForANewCaller)
+{
+  limit (3, 1);
+  Caller &oldest = call (READY);
+  ASSERT_TRUE (wait ([&] { return oldest.has ("ok"); }));
+  call (HELD);
+  ASSERT_TRUE (wait_for_held (1));
+  Caller &held = *callers.back ();
+  rest (150 * US_PER_MS);
+  Caller &next = call (READY);
+  ASSERT_TRUE (wait ([&] { return next.has ("ok"); }));
+  Caller &last = call (READY);
+  ASSERT_TRUE (wait ([&] { return last.has ("HTTP/1.1 "); }));
+  EXPECT_TRUE (last.has ("200"));
+  EXPECT_TRUE (wait ([&] { return oldest.is_over (); }));
+  EXPECT_EQ (1u, stats ().close_counts[HTTP_CLOSE_ROOM]);
+  http_respond (server->open[0], 200, nullptr, 0, "held", 4);
+  EXPECT_TRUE (wait ([&] { return held.has ("held"); }));
+}
+
+TEST_F (ConnectionLimit, RequestThatArrivedOnARestingConnectionIsServed)
+{
+  Caller &first = call (READY);
+  ASSERT_TRUE (wait ([&] { return first.has ("ok"); }));
+  limit (1, 0);
+  rest (150 * US_PER_MS);
+  first.send (HELD + HELD);
+  Caller &second = call (READY);
+  ASSERT_TRUE (wait_for_held (2));
+  EXPECT_FALSE (first.is_over ());
+  EXPECT_EQ (0u, stats ().close_counts[HTTP_CLOSE_ROOM]);
+  http_respond (server->open[0], 200, nullptr, 0, "one", 3);
+  http_respond (server->open[1], 200, nullptr, 0, "two", 3);
+  EXPECT_TRUE (wait ([&] { return first.has ("one") && first.has ("two"); }));
+  EXPECT_TRUE (wait ([&] { return second.has ("ok"); }));
+}
+
+TEST_F (ConnectionLimit, CallersBeyondItAreAnsweredOrRefused)
+{
+  const size_t SERVED = 8;
+  limit (SERVED, 2);
+  for (size_t i = 0; i < SERVED; i++)
+    call (HELD);
+  ASSERT_TRUE (wait_for_held (SERVED));
+  for (int i = 0; i < 100; i++)
+    call (READY);
+  for (size_t i = SERVED; i < callers.size (); i++)
+    {
+      ASSERT_TRUE (wait ([&] { return callers[i]->is_over (); })) << i;
+      EXPECT_TRUE (callers[i]->has ("HTTP/1.1 503 ")) << i;
+      EXPECT_TRUE (callers[i]->has ("\r\nRetry-After: ")) << i;
+      EXPECT_TRUE (callers[i]->has ("\r\nConnection: close\r\n")) << i;
+      callers[i]->shut ();
+    }
+  EXPECT_EQ (SERVED, server->targets.size ());
+  EXPECT_EQ (100u, stats ().refused_for_room);
+  EXPECT_EQ (SERVED, server->open.size ());
+  while (!server->open.empty ())
+    {
+      http_respond (server->open.back (), 200, nullptr, 0, "held", 4);
+      server->open.pop_back ();
+    }
+  for (size_t i = 0; i < SERVED; i++)
+    EXPECT_TRUE (wait ([&] { return callers[i]->has ("held"); })) << i;
+}
+
+TEST_F (ConnectionLimit, CallerIsServedIfRoomIsMadeBeforeItsRequest)
+{
+  limit (1, 1);
+  call (HELD);
+  ASSERT_TRUE (wait_for_held (1));
+  Caller &second = call ("");
+  ASSERT_TRUE (wait ([&] { return stats ().connections == 2; }));
+  http_respond (server->open[0], 200, nullptr, 0, "ok", 2);
+  callers[0]->shut ();
+  ASSERT_TRUE (wait ([&] { return stats ().connections == 1; }));
+  second.send (READY);
+  ASSERT_TRUE (wait ([&] { return second.has ("HTTP/1.1 "); }));
+  EXPECT_TRUE (second.has ("200"));
+}
+
+TEST_F (ConnectionLimit, SilentCallersDoNotHoldThePlaceOfRefusals)
+{
+  limit (1, 1);
+  call (HELD);
+  ASSERT_TRUE (wait_for_held (1));
+  Caller &silent = call ("");
+  ASSERT_TRUE (wait ([&] { return stats ().connections == 2; }));
+  Caller &last = call (READY);
+  EXPECT_TRUE (wait ([&] { return last.has ("HTTP/1.1 503 "); }));
+  EXPECT_TRUE (silent.is_over ());
+}
+
+TEST_F (ConnectionLimit, LoopDoesNotSpinWhileNoPlaceIsLeft)
+{
+  limit (1, 0);
+  call (HELD);
+  ASSERT_TRUE (wait_for_held (1));
+  Caller &waits = call (READY);
+  EXPECT_GE (TURNS_WITHOUT_SPIN, turns (&loop));
+  EXPECT_LT (0, stats ().accepting.paused_us);
+  http_respond (server->open[0], 200, nullptr, 0, "ok", 2);
+  EXPECT_TRUE (wait ([&] { return waits.has ("ok"); }));
+}
+
+TEST_F (ConnectionLimit, ResponsesCloseToItAnnounceTheClose)
+{
+  limit (8, 0);
+  for (int i = 0; i < 7; i++)
+    {
+      Caller &caller = call (READY);
+      ASSERT_TRUE (wait ([&] { return caller.has ("ok"); }));
+      EXPECT_EQ (i == 6, caller.has ("Connection: close")) << i;
+    }
+}
+
+TEST_F (ConnectionLimit, CallersThatWaitAreNotLeftByAStop)
+{
+  limit (1, 1);
+  call (HELD);
+  ASSERT_TRUE (wait_for_held (1));
+  for (int i = 0; i < 20; i++)
+    call (READY);
+  http_server_drain (server->server);
+  ASSERT_TRUE (wait ([&] {
+    http_server_stop_listening (server->server);
+    for (auto &caller : callers)
+      if (caller->fd >= 0 && caller->is_over ())
+        {
+          EXPECT_TRUE (caller->has ("HTTP/1.1 503 "));
+          caller->shut ();
+        }
+    return stats ().refused_for_room == 20;
+  }));
+  EXPECT_EQ (1u, server->open.size ());
+}
+
+TEST_F (ConnectionLimit, StopIsNotCompleteWhileCallersWait)
+{
+  limit (1, 0);
+  call (HELD);
+  ASSERT_TRUE (wait_for_held (1));
+  Caller &waits = call (READY);
+  http_server_drain (server->server);
+  http_server_stop_listening (server->server);
+  EXPECT_TRUE (http_server_is_busy (server->server));
+  http_respond (server->open[0], 200, nullptr, 0, "ok", 2);
+  EXPECT_TRUE (wait ([&] { return callers[0]->is_over (); }));
+  callers[0]->shut ();
+  EXPECT_TRUE (wait ([&] {
+    http_server_stop_listening (server->server);
+    return waits.has ("ok");
+  }));
+}
 }
