Descriptors: a budget split by use; callers get what the others leave

The new setting descriptors_max, or RLIMIT_NOFILE if that is lower, is split by descriptor_budget: links by the known number of sidecars, the backend server, the store, the auxiliary listeners, refusals, and the rest for callers; the sum is the total for any number of sidecars. The listeners get their limits from it, anew when a sidecar joins or leaves and at SIGHUP. Links, the backend client and the store are counted, not yet limited, by it.

Metrics: descriptors_allowed and descriptors_open by use, caller_refused_for_room_total. Log: callers-limited.

mesh_edge_test and mesh_closes_test: rows for the new setting and metrics.

--- a/src/edge/metrics.c
+++ b/src/edge/metrics.c
@@ -123,6 +123,8 @@
 {
   append_metric (out, "caller_connections", callers->connections);
   append_metric (out, "caller_malformed_total", callers->malformed_requests);
+  append_metric (out, "caller_refused_for_room_total",
+                 callers->refused_for_room);
   append_metric (out, "caller_reads_abandoned_total",
                  callers->reads_abandoned);
   append_metric (out, "caller_reads_paused_total", callers->reads_paused);
@@ -172,6 +174,19 @@
   append_metric (out, "log_lines_lost_total", input->log->lines_lost);
 }
 
+static void
+append_descriptor_metrics (bytes_t *out, const metrics_input_t *input)
+{
+  for (int i = 0; i < DESCRIPTORS_USE_COUNT; i++)
+    {
+      const char *use = descriptor_use_name ((descriptor_use_t)i);
+      append_labelled_metric (out, "descriptors_allowed", "use", use,
+                              input->descriptors.parts[i]);
+      append_labelled_metric (out, "descriptors_open", "use", use,
+                              input->descriptors_open[i]);
+    }
+}
+
 void
 metrics_write (bytes_t *out, const metrics_input_t *input)
 {
@@ -206,5 +221,6 @@
   append_metric (out, "store_reachable", input->store.reachable);
   append_caller_metrics (out, &input->callers);
   append_metric (out, "config_version", input->config_version);
+  append_descriptor_metrics (out, input);
   append_process_metrics (out, input);
 }
--- a/src/edge/metrics.h
+++ b/src/edge/metrics.h
@@ -6,6 +6,7 @@
 
 #include "edge/entry_point.h"
 #include "edge/store.h"
+#include "mesh/descriptor_budget.h"
 
 typedef enum listener_t
 {
@@ -33,6 +34,8 @@
   http_server_stats_t callers;
   acceptor_stats_t accepting[LISTENER_COUNT];
   uint64_t config_version;
+  descriptor_budget_t descriptors;
+  uint32_t descriptors_open[DESCRIPTORS_USE_COUNT]; /* sockets only */
 } metrics_input_t;
 
 /* Appends all metrics to OUT.  */
--- a/src/edge/peer.c
+++ b/src/edge/peer.c
@@ -1,6 +1,5 @@
 #include "edge/peer_impl.h"
 
-#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -384,6 +383,8 @@
 {
   peer_set_stats_t stats = peers->stats;
   stats.accepting = acceptor_stats (&peers->acceptor);
+  for (const peer_link_t *link = peers->links; link != NULL; link = link->next)
+    stats.links_open++;
   for (const peer_t *peer = peers->first_peer; peer != NULL; peer = peer->next)
     stats.peers_up += peer->active_link != NULL;
   return stats;
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -122,6 +122,7 @@
   uint32_t count = members_count (sidecar->members);
   quota_set_member_count (sidecar->quota, count);
   entry_set_sidecar_count (sidecar->entry, count);
+  sidecar_apply_descriptor_limits (sidecar);
 }
 
 static void
@@ -281,10 +282,12 @@
     .peers = peer_set_stats (sidecar->peers),
     .store = store_stats (sidecar->store),
     .callers = http_server_stats (sidecar->caller_server),
+    .descriptors = sidecar->descriptors,
     .config_version = operator_feed_config_version (sidecar->operator_feed),
   };
   for (int i = 0; i < LISTENER_COUNT; i++)
     input.accepting[i] = accepting_stats (sidecar, (listener_t)i);
+  sidecar_count_descriptors (sidecar, input.descriptors_open);
   bytes_t text = { 0 };
   static const char headers[] = "Content-Type: text/plain\r\n";
   metrics_write (&text, &input);
@@ -569,6 +572,7 @@
   placement_update_server (sidecar->placement, &server, sidecar->loop.now_us);
   sidecar->report_count++;
   log_accept_failures (sidecar);
+  sidecar_log_descriptors (sidecar);
   log_dropped_frames (sidecar);
   if (sidecar->report_count % TRAFFIC_LOG_EVERY == 0)
     {
@@ -630,10 +634,12 @@
   /* Other settings, such as addresses, take effect only at the next start.  */
   sidecar->settings.stop_s = settings.stop_s;
   sidecar->settings.memory_mb = settings.memory_mb;
+  sidecar->settings.descriptors_max = settings.descriptors_max;
+  sidecar_apply_descriptor_limits (sidecar);
   apply_http_limits (sidecar);
   event_log_write (&sidecar->log, EVENT_LIFECYCLE, "settings-reloaded",
-                   "stop-s=%g memory-mb=%u", settings.stop_s,
-                   settings.memory_mb);
+                   "stop-s=%g memory-mb=%u descriptors=%u", settings.stop_s,
+                   settings.memory_mb, settings.descriptors_max);
 }
 
 /* --- construction ------------------------------------------------------ */
@@ -768,7 +774,10 @@
   sidecar->members = members_new (
       sidecar->store, dialect->member_topic, peer_set_own_vm (sidecar->peers),
       sidecar->incarnation, settings->zone, &sidecar->log, &members_handler);
-  return open_listeners (sidecar, error);
+  if (!open_listeners (sidecar, error))
+    return false;
+  sidecar_apply_descriptor_limits (sidecar);
+  return true;
 }
 
 sidecar_t *
--- /dev/null
+++ b/src/edge/sidecar_descriptors.c
@@ -0,0 +1,69 @@
+#include "edge/sidecar_impl.h"
+
+#include <sys/resource.h>
+
+enum
+{
+  AUXILIARY_SERVERS = 3 /* readiness, announcements and metrics */
+};
+
+static uint32_t
+total_descriptors (const sidecar_t *sidecar)
+{
+  struct rlimit process = { .rlim_cur = RLIM_INFINITY };
+  getrlimit (RLIMIT_NOFILE, &process);
+  return descriptor_total (sidecar->settings.descriptors_max,
+                           process.rlim_cur);
+}
+
+void
+sidecar_apply_descriptor_limits (sidecar_t *sidecar)
+{
+  sidecar->descriptors = descriptor_budget_split (
+      total_descriptors (sidecar), peer_set_stats (sidecar->peers).members);
+  const uint32_t *parts = sidecar->descriptors.parts;
+  http_connection_limits_t callers
+      = { parts[DESCRIPTORS_CALLERS], parts[DESCRIPTORS_REFUSALS] };
+  http_connection_limits_t auxiliary
+      = { parts[DESCRIPTORS_AUXILIARY] / AUXILIARY_SERVERS, 0 };
+  if (auxiliary.served == 0)
+    auxiliary.served = 1;
+  http_server_set_connection_limits (sidecar->caller_server, &callers);
+  http_server_set_connection_limits (sidecar->readiness_server, &auxiliary);
+  http_server_set_connection_limits (sidecar->announcement_server, &auxiliary);
+  http_server_set_connection_limits (sidecar->metrics_server, &auxiliary);
+}
+
+void
+sidecar_log_descriptors (sidecar_t *sidecar)
+{
+  http_server_stats_t callers = http_server_stats (sidecar->caller_server);
+  uint64_t closed = callers.close_counts[HTTP_CLOSE_ROOM];
+  uint64_t events
+      = closed + callers.refused_for_room + callers.accepting.pauses;
+  if (events == sidecar->logged_room_events)
+    return;
+  sidecar->logged_room_events = events;
+  event_log_write (
+      &sidecar->log, EVENT_CONNECTION, "callers-limited",
+      "connections=%u limit=%u closed=%llu refused=%llu paused-ms=%lld",
+      callers.connections, sidecar->descriptors.parts[DESCRIPTORS_CALLERS],
+      (unsigned long long)closed, (unsigned long long)callers.refused_for_room,
+      (long long)(callers.accepting.paused_us / US_PER_MS));
+}
+
+void
+sidecar_count_descriptors (const sidecar_t *sidecar,
+                           uint32_t open[DESCRIPTORS_USE_COUNT])
+{
+  open[DESCRIPTORS_LINKS] = peer_set_stats (sidecar->peers).links_open;
+  open[DESCRIPTORS_BACKEND]
+      = runner_stats (sidecar->runner).connections.connections;
+  open[DESCRIPTORS_STORE] = store_stats (sidecar->store).connections;
+  open[DESCRIPTORS_AUXILIARY]
+      = http_server_stats (sidecar->readiness_server).connections
+        + http_server_stats (sidecar->announcement_server).connections
+        + http_server_stats (sidecar->metrics_server).connections;
+  open[DESCRIPTORS_CALLERS]
+      = http_server_stats (sidecar->caller_server).connections;
+}
--- a/src/edge/sidecar_impl.h
+++ b/src/edge/sidecar_impl.h
@@ -3,7 +3,7 @@
 
 /* Internals of the sidecar module: sidecar.c creates the components and runs
    the timers, sidecar_report.c exchanges reports and documents with the other
-   sidecars.  */
+   sidecars, and sidecar_descriptors.c limits the use of descriptors.  */
 
 #include "edge/backend_watch.h"
 #include "edge/entry_point.h"
@@ -93,8 +93,26 @@
   /* What the last lines about failures of accept and dropped frames told.  */
   uint64_t logged_accept_failures[LISTENER_COUNT];
   uint64_t logged_frames_dropped[TRAFFIC_COUNT];
+  descriptor_budget_t descriptors;
+  uint64_t logged_room_events; /* what the last line callers-limited told */
 };
 
+/* --- sidecar_descriptors.c --------------------------------------------- */
+
+/* Splits the descriptors anew, for the settings, the process's limit and the
+   number of sidecars, and limits the connections of the listeners.  */
+void sidecar_apply_descriptor_limits (sidecar_t *sidecar);
+
+/* Logs what was done to keep callers to their part, if anything was since the
+   last call.  */
+void sidecar_log_descriptors (sidecar_t *sidecar);
+
+/* Fills OPEN, which is zeroed, with the sockets that are open by use.  Those
+   of the process's own use and of refusals, which count as callers', are
+   left.  */
+void sidecar_count_descriptors (const sidecar_t *sidecar,
+                                uint32_t open[DESCRIPTORS_USE_COUNT]);
+
 /* --- sidecar_report.c -------------------------------------------------- */
 
 /* Returns the callbacks for peer_set_new, with the sidecar as context.  */
--- a/src/edge/sidecar_settings.c
+++ b/src/edge/sidecar_settings.c
@@ -48,6 +48,8 @@
   { "retry_reserve", FIELD_DOUBLE, false, OFFSET (retry_reserve), 0, 0, 1e6 },
   { "rate_window_s", FIELD_DOUBLE, false, OFFSET (rate_window_s), 5, 1, 60 },
   { "memory_mb", FIELD_U32, false, OFFSET (memory_mb), 64, 16, 1048576 },
+  { "descriptors_max", FIELD_U32, false, OFFSET (descriptors_max), 0, 64,
+    1048576 },
 };
 
 enum
--- a/src/edge/sidecar_settings.h
+++ b/src/edge/sidecar_settings.h
@@ -28,6 +28,9 @@
   double retry_reserve;
   double rate_window_s; /* window of the client accounts' rate limits */
   uint32_t memory_mb;   /* memory budget of the process, MiB */
+  /* Descriptors that the process may open; 0 leaves the limit to the system.
+   */
+  uint32_t descriptors_max;
 } sidecar_settings_t;
 
 /* Parses the JSON TEXT of SIZE bytes into *SETTINGS.  An optional setting that
--- a/src/edge/store.c
+++ b/src/edge/store.c
@@ -495,5 +495,7 @@
 store_stats_t
 store_stats (const store_t *store)
 {
-  return store->stats;
+  store_stats_t stats = store->stats;
+  stats.connections = http_client_stats (store->client).connections;
+  return stats;
 }
--- a/src/edge/store.h
+++ b/src/edge/store.h
@@ -60,6 +60,7 @@
   uint64_t writes;
   uint64_t failures;
   uint64_t bytes_in;
+  uint32_t connections;
   bool reachable;
 } store_stats_t;
 
--- a/tests/mesh_closes_test.cc
+++ b/tests/mesh_closes_test.cc
@@ -458,6 +458,9 @@
   input.peers.frames_dropped[TRAFFIC_REPLY] = 5;
   input.accepting[LISTENER_CALLERS].failures = 6;
   input.accepting[LISTENER_PEERS].paused_us = 7;
+  input.callers.refused_for_room = 8;
+  input.descriptors.parts[DESCRIPTORS_LINKS] = 9;
+  input.descriptors_open[DESCRIPTORS_CALLERS] = 10;
   metrics_write (&text, &input);
   std::string got (bytes_data (&text), bytes_size (&text));
   bytes_free (&text);
@@ -468,7 +471,10 @@
           "caller_connections_unread_total{end=\"freed\"} 4",
           "peer_frames_dropped_total{kind=\"answer\"} 5",
           "accepts_failed_total{listener=\"callers\"} 6",
-          "accepting_paused_us_total{listener=\"peer\"} 7" };
+          "accepting_paused_us_total{listener=\"peer\"} 7",
+          "caller_refused_for_room_total 8",
+          "descriptors_allowed{use=\"links\"} 9",
+          "descriptors_open{use=\"callers\"} 10" };
   for (const char *line : lines)
     EXPECT_NE (std::string::npos,
                got.find ("redwingford_" + std::string (line) + "\n"))
--- a/tests/mesh_descriptors_test.cc
+++ b/tests/mesh_descriptors_test.cc
@@ -1,5 +1,10 @@
 #include "support_edge.h"
 
+extern "C"
+{
+#include "mesh/descriptor_budget.h"
+}
+
 #include <sys/resource.h>
 
 namespace
@@ -296,4 +301,39 @@
     return waits.has ("ok");
   }));
 }
+
+/* --- the budget -------------------------------------------------------- */
+
+TEST (DescriptorBudget, PartsAddUpToTheTotalForAnyFleet)
+{
+  for (uint32_t total : { 0u, 1u, 8u, 16u, 64u, 256u, 1024u, 4100u, 65536u })
+    for (uint32_t others : { 0u, 1u, 31u, 62u, 300u, 2000u, 20000u })
+      {
+        descriptor_budget_t budget = descriptor_budget_split (total, others);
+        uint64_t sum = 0;
+        for (uint32_t part : budget.parts)
+          sum += part;
+        EXPECT_EQ (total, sum) << others;
+        if (total < 64)
+          continue;
+        for (uint32_t part : budget.parts)
+          EXPECT_LT (0u, part) << total << " of " << others;
+      }
+}
+
+TEST (DescriptorBudget, LinksOfAllSidecarsHaveRoom)
+{
+  for (uint32_t others : { 0u, 31u, 62u, 300u, 600u })
+    EXPECT_LE (
+        2 * others,
+        descriptor_budget_split (4100, others).parts[DESCRIPTORS_LINKS]);
+}
+
+TEST (DescriptorBudget, TotalIsTheLowerLimit)
+{
+  EXPECT_EQ (4100u, descriptor_total (4100, 1 << 20));
+  EXPECT_EQ (1024u, descriptor_total (4100, 1024));
+  EXPECT_EQ (1024u, descriptor_total (0, 1024));
+  EXPECT_EQ (UINT32_MAX, descriptor_total (0, UINT64_MAX));
+}
 }
--- a/tests/mesh_edge_test.cc
+++ b/tests/mesh_edge_test.cc
@@ -698,6 +698,8 @@
   { "UnknownKey", std::string (SETTINGS) + R"(,"odd":1})", "odd" },
   { "DuplicateKey", std::string (SETTINGS) + R"(,"node":"m"})", "" },
   { "OutOfRange", std::string (SETTINGS) + R"(,"stop_s":0})", "stop_s" },
+  { "TooFewDescriptors", std::string (SETTINGS) + R"(,"descriptors_max":63})",
+    "descriptors_max" },
   { "WrongType", std::string (SETTINGS) + R"(,"stop_s":"6"})", "stop_s" },
   { "MissingKey", R"({"node":"n"})", "zone" },
   { "InvalidAddress", R"({"node":"n","zone":"z","service":"s","callers":"x"})",
