--- a/src/edge/metrics.h
+++ b/src/edge/metrics.h
@@ -5,6 +5,7 @@
    each.  */
 
 #include "edge/entry_point.h"
+#include "edge/operator_feed.h"
 #include "edge/store.h"
 #include "mesh/descriptor_budget.h"
 
@@ -36,6 +37,7 @@
   uint64_t config_version;
   descriptor_budget_t descriptors;
   uint32_t descriptors_open[DESCRIPTORS_USE_COUNT]; /* sockets only */
+  operator_feed_stats_t config;
 } metrics_input_t;
 
 /* Appends all metrics to OUT.  */
