Charge a retry to each service of its call tree

Each level filled a pool of its own, with a fixed part of the ratio and at least one token a sidecar, and paid for a retry only at the service that it called. The runs repeated below were charged to nobody, so the parts of many levels, and the tokens of many sidecars, added up beyond the budget; a route whose calls were not learnt yet got the larger part of one that makes none.

A request now fills the pools of all services of its call tree, with a share that falls by the distance so that the sum over all levels stays below the ratio at any depth, and a retry takes from all of them by the learnt calls per run. A pool that holds a part of the cost gives the retry that probability, so no sidecar needs a token of its own.

Changed tests: RetryPool.* of mesh_decisions_test keep their trees, counts and bounds and call the new functions. CallGraph.FollowsCallPaths...: the visitor has one more argument. support_edge.h: a reserve of 2 instead of the token that each pool held by itself.

--- a/src/edge/entry_answer.c
+++ b/src/edge/entry_answer.c
@@ -157,8 +157,7 @@
   /* The server itself refused, so another attempt counts as a retry.  */
   if (failure->cause == CAUSE_SERVER_SHED)
     {
-      if (!retry_pool_try_withdraw (
-              entry_retry_pool (entry, exchange->service)))
+      if (!entry_take_retry (entry, exchange->service, exchange->route))
         {
           exchange_give_up (exchange, ENTRY_NO_ROOM);
           return;
--- a/src/edge/entry_impl.h
+++ b/src/edge/entry_impl.h
@@ -20,7 +20,8 @@
   ROUTE_TIMING_PROBES = 16,  /* slots that a route may have */
   /* Time before the deadline that is reserved for the response to reach the
      caller.  */
-  RESPONSE_MARGIN_US = 20 * US_PER_MS
+  RESPONSE_MARGIN_US = 20 * US_PER_MS,
+  RETRY_TREES_CACHED = 64
 };
 
 /* State of a route, reset when another policy comes into force.  All members
@@ -52,8 +53,18 @@
 {
   char route[NAME_BYTES]; /* "" in a free slot */
   double mean_run_us;     /* moving average; 0 before the first run */
+  int64_t first_used_us;
 } route_timing_t;
 
+/* Cached costs of a retry of a route.  */
+typedef struct retry_tree_t
+{
+  char route[NAME_BYTES];
+  char service[NAME_BYTES];
+  int64_t computed_us; /* 0 is never */
+  retry_costs_t costs;
+} retry_tree_t;
+
 typedef struct exchange_t exchange_t;
 
 struct entry_point_t
@@ -65,6 +76,7 @@
   service_state_t services[SERVICES_MAX];
   uint32_t service_count;
   route_timing_t route_timings[ROUTE_TIMING_SLOTS];
+  retry_tree_t retry_trees[RETRY_TREES_CACHED]; /* by hash of the route */
   uint32_t sidecar_count;
   int64_t stop_since_us; /* 0 while the sidecar is not stopping */
   int64_t stop_end_us;
@@ -155,9 +167,19 @@
    are SERVICES_MAX states, all further services share the last one.  */
 service_state_t *entry_service_state (entry_point_t *entry,
                                       const char *service);
-retry_pool_t *entry_retry_pool (entry_point_t *entry, const char *service);
 retry_budget_t entry_retry_budget (const entry_point_t *entry);
 
+/* Returns the costs of a request of ROUTE at SERVICE, valid until the next
+   call.  */
+const retry_costs_t *entry_retry_costs (entry_point_t *entry,
+                                        const char *service,
+                                        const char *route);
+
+/* Takes tokens for one retry of ROUTE at SERVICE out of the retry pools of its
+   call tree.  Returns false if they do not suffice.  */
+bool entry_take_retry (entry_point_t *entry, const char *service,
+                       const char *route);
+
 /* Returns the index of ROUTE's slot in route_timings, which is a free one if
    the route has none yet.  Once all slots that it may have are taken, it
    shares the first of them.  */
@@ -184,8 +206,8 @@
 void exchange_schedule_query (exchange_t *exchange);
 
 /* Returns whether the request may be retried after an attempt that may have
-   run.  If so, takes one of the request's retries and a token of the service's
-   retry pool, and counts the retry.  */
+   run.  If so, takes one of the request's retries and tokens of the retry
+   pools of its call tree, and counts the retry.  */
 bool exchange_take_retry (exchange_t *exchange);
 
 /* Starts to buffer a reply that has begun to arrive.  From now on another
--- a/src/edge/entry_place.c
+++ b/src/edge/entry_place.c
@@ -304,7 +304,7 @@
   if (!exchange->idempotent || exchange->retries_left == 0
       || left_us < 2 * RESPONSE_MARGIN_US)
     return false;
-  if (!retry_pool_try_withdraw (entry_retry_pool (entry, exchange->service)))
+  if (!entry_take_retry (entry, exchange->service, exchange->route))
     return false;
   exchange->retries_left--;
   entry->stats.retries[exchange->cause]++;
--- a/src/edge/entry_point.c
+++ b/src/edge/entry_point.c
@@ -167,7 +167,10 @@
   route_timing_t *timing
       = &entry->route_timings[entry_timing_slot (entry, route)];
   if (timing->route[0] == '\0')
-    snprintf (timing->route, sizeof timing->route, "%s", route);
+    {
+      snprintf (timing->route, sizeof timing->route, "%s", route);
+      timing->first_used_us = entry->deps.loop->now_us;
+    }
   return timing;
 }
 
@@ -245,16 +248,15 @@
   return false;
 }
 
-/* Adds tokens to the service's retry pool.  Also records the request if it is
-   a call of the backend server.  */
+/* Adds tokens to the retry pools of the request's call tree.  Also records the
+   request if it is a call of the backend server.  */
 static void
 count_first_attempt (exchange_t *exchange)
 {
   entry_point_t *entry = exchange->entry;
-  bool is_leaf = call_graph_is_leaf (entry->deps.graph, exchange->route,
-                                     entry->deps.loop->now_us);
-  retry_pool_deposit (entry_retry_pool (entry, exchange->service), is_leaf,
-                      entry_retry_budget (entry));
+  retry_costs_deposit (
+      entry_retry_costs (entry, exchange->service, exchange->route),
+      RETRY_BY_SENDER, entry_retry_budget (entry), entry->deps.loop->now_us);
   if (!exchange->from_backend)
     return;
   call_learner_record_call (entry->deps.learner, exchange->route);
--- a/src/edge/entry_tree.c
+++ b/src/edge/entry_tree.c
@@ -7,7 +7,9 @@
 enum
 {
   TREE_SERVICES_MAX = 16, /* evaluated in the call tree of one request */
-  PRESSURE_CACHE_US = 50 * US_PER_MS
+  PRESSURE_CACHE_US = 50 * US_PER_MS,
+  RETRY_CACHE_US = 200 * US_PER_MS,
+  NEW_ROUTE_US = 10 * US_PER_S /* until its calls should be known */
 };
 
 /* Callees with fewer runs than this for each request are left out of the call
@@ -35,10 +37,58 @@
   return state;
 }
 
-retry_pool_t *
-entry_retry_pool (entry_point_t *entry, const char *service)
+/* Adds RUNS of the route NAME to the costs at its services, by weight.  */
+static void
+add_retry_cost (void *ctx, const char *name, double runs, uint32_t distance,
+                retry_costs_t *costs)
+{
+  entry_point_t *entry = ctx;
+  const policy_t *policy = entry->policy;
+  int index = policy != NULL ? policy_find_route_by_name (policy, name) : -1;
+  if (index < 0)
+    return;
+  const policy_route_t *route = &policy->routes[index];
+  double weights = 0;
+  for (uint32_t i = 0; i < route->destination_count; i++)
+    weights += route->destinations[i].weight;
+  for (uint32_t i = 0; i < route->destination_count && weights > 0; i++)
+    {
+      const policy_destination_t *destination = &route->destinations[i];
+      const char *service = policy->services[destination->service_index].name;
+      retry_costs_add (costs, &entry_service_state (entry, service)->pool,
+                       runs * destination->weight / weights, distance);
+    }
+}
+
+const retry_costs_t *
+entry_retry_costs (entry_point_t *entry, const char *service,
+                   const char *route)
+{
+  int64_t now_us = entry->deps.loop->now_us;
+  const route_timing_t *timing
+      = &entry->route_timings[entry_timing_slot (entry, route)];
+  size_t slot = XXH3_64bits (route, strlen (route)) % RETRY_TREES_CACHED;
+  retry_tree_t *tree = &entry->retry_trees[slot];
+  if (tree->computed_us != 0 && now_us - tree->computed_us < RETRY_CACHE_US
+      && strcmp (tree->route, route) == 0
+      && strcmp (tree->service, service) == 0)
+    return &tree->costs;
+  snprintf (tree->route, sizeof tree->route, "%s", route);
+  snprintf (tree->service, sizeof tree->service, "%s", service);
+  tree->computed_us = now_us;
+  retry_costs_find (&tree->costs, entry->deps.graph,
+                    &entry_service_state (entry, service)->pool, route,
+                    now_us - timing->first_used_us < NEW_ROUTE_US, now_us,
+                    add_retry_cost, entry);
+  return &tree->costs;
+}
+
+bool
+entry_take_retry (entry_point_t *entry, const char *service, const char *route)
 {
-  return &entry_service_state (entry, service)->pool;
+  return retry_costs_try_withdraw (
+      entry_retry_costs (entry, service, route), entry_retry_budget (entry),
+      entry->deps.loop->now_us, entry_random (entry));
 }
 
 /* Cost of a request at one service of its call tree.  */
@@ -94,9 +144,11 @@
 /* Adds RUNS runs of the route NAME, of RUN_US each, to the cost of each of the
    route's services.  */
 static void
-add_route_cost (void *ctx, const char *name, double runs, double run_us)
+add_route_cost (void *ctx, const char *name, double runs, double run_us,
+                uint32_t distance)
 {
   tree_walk_t *walk = ctx;
+  (void)distance;
   const policy_t *policy = walk->entry->policy;
   int route_index = policy_find_route_by_name (policy, name);
   if (route_index < 0 || runs < RUNS_MIN)
--- a/src/mesh/call_graph.c
+++ b/src/mesh/call_graph.c
@@ -91,7 +91,8 @@
 
 static void
 visit_callees (const call_graph_t *graph, const char *route, double runs,
-               int depth, int64_t now_us, call_graph_visit_t visit, void *ctx)
+               uint32_t depth, int64_t now_us, call_graph_visit_t visit,
+               void *ctx)
 {
   if (depth == DEPTH_MAX)
     return;
@@ -102,7 +103,7 @@
           || strcmp (edge->caller, route) != 0)
         continue;
       visit (ctx, edge->callee, runs * edge->calls_per_run,
-             edge->callee_run_us);
+             edge->callee_run_us, depth + 1);
       visit_callees (graph, edge->callee, runs * edge->calls_per_run,
                      depth + 1, now_us, visit, ctx);
     }
--- a/src/mesh/call_graph.h
+++ b/src/mesh/call_graph.h
@@ -28,9 +28,10 @@
 /* Visits every route that a run of ROUTE calls, directly or through other
    routes, with the expected number of its runs and the mean time of one.  A
    route that is reached on several paths is visited once for each.  Paths end
-   after 8 calls, since the graph may have cycles.  */
+   after 8 calls, since the graph may have cycles.  DISTANCE counts the calls
+   on the path.  */
 typedef void (*call_graph_visit_t) (void *ctx, const char *route, double runs,
-                                    double run_us);
+                                    double run_us, uint32_t distance);
 void call_graph_visit_callees (const call_graph_t *graph, const char *route,
                                int64_t now_us, call_graph_visit_t visit,
                                void *ctx);
--- a/tests/mesh_decisions_test.cc
+++ b/tests/mesh_decisions_test.cc
@@ -133,23 +133,53 @@
 
 /* --- retries ----------------------------------------------------------- */
 
+/* Costs of a request that makes CALLS[0] calls, each of which makes CALLS[1],
+   and so on, in POOLS of the services of these levels.  */
+retry_costs_t
+tree_costs (std::vector<retry_pool_t> *pools, size_t level,
+            const std::vector<double> &calls)
+{
+  retry_costs_t costs = {};
+  double runs = 1;
+  costs.is_complete = true;
+  for (size_t i = level; i < pools->size (); i++)
+    {
+      retry_costs_add (&costs, &(*pools)[i], runs, (uint32_t)(i - level));
+      runs *= i < calls.size () ? calls[i] : 1;
+    }
+  return costs;
+}
+
+std::vector<retry_pool_t>
+empty_pools (size_t levels)
+{
+  std::vector<retry_pool_t> pools (levels);
+  for (retry_pool_t &pool : pools)
+    retry_pool_init (&pool, "s");
+  return pools;
+}
+
 TEST (RetryPool, RetriesOnFourLevelsStayBelowAFifthOfTheRuns)
 {
   /* A retry on any of the three levels above repeats the leaf's run too.  */
   double retry_runs = 0;
-  for (bool leaf : { false, false, false, true })
+  rng_t rng = rng_seeded (3);
+  for (size_t level = 0; level < 4; level++)
     {
-      retry_pool_t pool;
+      std::vector<retry_pool_t> pools = empty_pools (4);
+      retry_costs_t costs = tree_costs (&pools, level, {});
       retry_budget_t budget = { 0.2, 0, 12 };
-      retry_pool_init (&pool, "s");
       int withdrawn = 0;
       for (int i = 0; i < 10000; i++)
         {
-          retry_pool_deposit (&pool, leaf, budget);
-          withdrawn += retry_pool_try_withdraw (&pool);
+          retry_costs_deposit (&costs, RETRY_BY_SENDER, budget, US_PER_S);
+          retry_costs_deposit (&costs, RETRY_BY_SERVER, budget, US_PER_S);
+          withdrawn += retry_costs_try_withdraw (&costs, budget, US_PER_S,
+                                                 rng_unit (&rng));
         }
       retry_runs += withdrawn / 10000.0;
     }
+  rng_seeded_free (&rng);
   EXPECT_LT (retry_runs, 0.2);
   EXPECT_GT (retry_runs, 0.1);
 }
@@ -168,21 +198,29 @@
   /* First attempts of the whole fleet on each level.  */
   const int first_attempts_per_s[] = { 30, 60, 60, 300 };
   double retry_runs = 0;
-  for (int level = 0; level < 4; level++)
+  rng_t rng = rng_seeded (3);
+  std::vector<std::vector<retry_pool_t>> pools (SIDECAR_COUNT,
+                                                empty_pools (4));
+  for (size_t level = 0; level < 4; level++)
     for (int sidecar = 0; sidecar < SIDECAR_COUNT; sidecar++)
       {
-        retry_pool_t pool;
-        retry_pool_init (&pool, "s");
+        retry_costs_t costs = tree_costs (&pools[sidecar], level, { 2, 1, 5 });
+        auto try_retry = [&] {
+          return retry_costs_try_withdraw (&costs, budget, US_PER_S,
+                                           rng_unit (&rng));
+        };
         for (int i = 0; i < first_attempts_per_s[level] * 10 / SIDECAR_COUNT;
              i++)
           {
-            retry_pool_deposit (&pool, level == 3, budget);
-            if (retry_pool_try_withdraw (&pool))
+            retry_costs_deposit (&costs, RETRY_BY_SENDER, budget, US_PER_S);
+            retry_costs_deposit (&costs, RETRY_BY_SERVER, budget, US_PER_S);
+            if (try_retry ())
               retry_runs += runs_per_retry[level];
           }
-        while (retry_pool_try_withdraw (&pool))
+        while (try_retry ())
           retry_runs += runs_per_retry[level];
       }
+  rng_seeded_free (&rng);
   EXPECT_LE (retry_runs, 0.2 * first_attempts_per_s[3] * 10 + 48);
 }
 
@@ -928,9 +966,10 @@
   for (const call_edge_report_t &edge : edges)
     call_graph_update (graph, &edge, US_PER_S);
   std::map<std::string, double> runs;
-  auto visit = [] (void *ctx, const char *route, double count, double) {
-    (*(std::map<std::string, double> *)ctx)[route] += count;
-  };
+  auto visit
+      = [] (void *ctx, const char *route, double count, double, uint32_t) {
+          (*(std::map<std::string, double> *)ctx)[route] += count;
+        };
   call_graph_visit_callees (graph, "browse", 2 * US_PER_S, visit, &runs);
   EXPECT_EQ (2, runs["bale"]);
   EXPECT_EQ (2, runs["ledger"]);
--- a/tests/support_edge.h
+++ b/tests/support_edge.h
@@ -267,6 +267,8 @@
   loop_t *loop;
   std::string service;
   uint64_t incarnation;
+  /* A pool of a lone sidecar holds one token at first.  */
+  static constexpr double ONE_RETRY_RESERVE = 2;
   event_log_t *log;
   const rng_t *rng;
   runner_t *runner = nullptr;
@@ -309,10 +311,13 @@
     peers = peer_set_new (loop, loopback (port), loopback (bind_port),
                           &on_peer, &error);
     EXPECT_NE (nullptr, peers) << error.message;
-    entry_deps_t parts = { loop,      dialect, rng,     log,
-                           placement, graph,   learner, quota,
-                           suspects,  peers,   runner,  this->service.c_str (),
-                           0.2,       0 };
+    entry_deps_t parts = { loop,      dialect,
+                           rng,       log,
+                           placement, graph,
+                           learner,   quota,
+                           suspects,  peers,
+                           runner,    this->service.c_str (),
+                           0.2,       ONE_RETRY_RESERVE };
     entry = entry_new (&parts);
     http_limits_t made = limits ();
     http_handler_t handler = entry_handler (entry);
