Charge the retry budget for resends to the same server

When a server closed a reused connection without a reply, its sidecar sent the read once more, and no pool was charged: up to twice the arrivals of each attempt.

The sidecar of the server now takes tokens for it out of the pools of the call tree, which its server's runs fill with a fifth of the share; without them the attempt fails to where the request entered, which may retry it.

ReadRetry/RetryBudgetIsSpent (new row) with the charge taken out: 2 arrivals where 1 is expected. Metrics: resends_total, resends_held_total.

--- a/src/edge/entry_point.c
+++ b/src/edge/entry_point.c
@@ -420,6 +420,23 @@
   entry->sidecar_count = count > 0 ? count : 1;
 }
 
+void
+entry_count_run (entry_point_t *entry, const char *route)
+{
+  retry_costs_deposit (entry_retry_costs (entry, entry->deps.service, route),
+                       RETRY_BY_SERVER, entry_retry_budget (entry),
+                       entry->deps.loop->now_us);
+}
+
+bool
+entry_take_resend (entry_point_t *entry, const char *route)
+{
+  bool taken = entry_take_retry (entry, entry->deps.service, route);
+  entry->stats.resends += taken;
+  entry->stats.resends_held += !taken;
+  return taken;
+}
+
 void
 entry_set_stop_window (entry_point_t *entry, int64_t since_us, int64_t end_us)
 {
--- a/src/edge/entry_point.h
+++ b/src/edge/entry_point.h
@@ -96,6 +96,14 @@
    that arrive while it is NULL are refused.  */
 void entry_set_policy (entry_point_t *entry, const policy_t *policy);
 
+/* Counts a run of ROUTE at the backend server of this VM, for the budget of
+   entry_take_resend.  */
+void entry_count_run (entry_point_t *entry, const char *route);
+
+/* Returns whether a run of ROUTE may be repeated at that server, and charges
+   the retry budget for it.  */
+bool entry_take_resend (entry_point_t *entry, const char *route);
+
 /* Sets the number of sidecars in the fleet, including this one.  */
 void entry_set_sidecar_count (entry_point_t *entry, uint32_t count);
 
@@ -135,6 +143,10 @@
   uint64_t ends[ENTRY_END_COUNT];
   /* By the cause of the failure that led to the retry.  */
   uint64_t retries[CAUSE_COUNT];
+  /* Runs of the backend server of this VM whose connection was closed, that
+     were and were not repeated there.  */
+  uint64_t resends;
+  uint64_t resends_held;
   /* Checks after which an overdue reply was waited for, by the reason.  */
   uint64_t overdue_holds[OVERDUE_HOLD_COUNT];
   uint64_t backend_calls; /* made by the backend server of this VM */
--- a/src/edge/metrics.c
+++ b/src/edge/metrics.c
@@ -78,6 +78,8 @@
     if (entry->retries[i] > 0)
       append_labelled_metric (out, "retries_total", "cause",
                               cause_name ((cause_t)i), entry->retries[i]);
+  append_metric (out, "resends_total", entry->resends);
+  append_metric (out, "resends_held_total", entry->resends_held);
   for (int i = OVERDUE_HOLD_NONE + 1; i < OVERDUE_HOLD_COUNT; i++)
     append_labelled_metric (out, "overdue_replies_held_total", "reason",
                             overdue_hold_name ((overdue_hold_t)i),
--- a/src/edge/runner.c
+++ b/src/edge/runner.c
@@ -48,6 +48,8 @@
   run->http_call = http_client_call (runner->client, &request, &handler);
   runner->stats.runs_started++;
   call_learner_record_run (runner->learner, run->route);
+  if (!run->resent)
+    runner->handler.run_started (runner->handler.ctx, run->route);
   bytes_free (&head);
 }
 
--- a/src/edge/runner.h
+++ b/src/edge/runner.h
@@ -37,6 +37,11 @@
   /* The backend server has crashed and COUNT requests are suspected of it, or
      a suspect has been cleared (COUNT is 0).  */
   void (*suspects_changed) (void *ctx, uint32_t count);
+  /* The first run of a request of ROUTE begins.  */
+  void (*run_started) (void *ctx, const char *route);
+  /* Returns whether a request of ROUTE may be sent to the server once more.
+   */
+  bool (*take_resend) (void *ctx, const char *route);
   void *ctx; /* borrowed */
 } runner_handler_t;
 
--- a/src/edge/runner_answer.c
+++ b/src/edge/runner_answer.c
@@ -351,7 +351,7 @@
 
 /* Whether to send a request to the same server once more, after the reused
    connection that it was sent on was closed without a reply.  Only idempotent
-   requests are resent.  */
+   requests are resent.  Charges the retry budget if so.  */
 static bool
 may_resend (const run_t *run)
 {
@@ -359,7 +359,8 @@
   return !run->in_attempt_table && !run->resent
          && run->deadline_us > runner->loop->now_us
          && intake_is_accepting (runner->intake)
-         && strcmp (run->server_id, runner->server_id) == 0;
+         && strcmp (run->server_id, runner->server_id) == 0
+         && runner->handler.take_resend (runner->handler.ctx, run->route);
 }
 
 static void
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -171,6 +171,20 @@
   sidecar_own_server_changed (sidecar);
 }
 
+static void
+on_run_started (void *ctx, const char *route)
+{
+  const sidecar_t *sidecar = ctx;
+  entry_count_run (sidecar->entry, route);
+}
+
+static bool
+on_take_resend (void *ctx, const char *route)
+{
+  const sidecar_t *sidecar = ctx;
+  return entry_take_resend (sidecar->entry, route);
+}
+
 /* --- callers ------------------------------------------------------------- */
 
 static void
@@ -719,7 +733,8 @@
   const sidecar_settings_t *settings = &sidecar->settings;
   int64_t rate_window_us = (int64_t)(settings->rate_window_s * US_PER_S);
   runner_handler_t runner_handler
-      = { on_server_lost, on_run_failed, on_suspects_changed, sidecar };
+      = { on_server_lost, on_run_failed,  on_suspects_changed,
+          on_run_started, on_take_resend, sidecar };
   peer_handler_t peer_handler = sidecar_peer_handler (sidecar);
   operator_feed_handler_t operator_handler
       = { on_policy_changed, on_zones_changed, sidecar };
--- a/tests/mesh_kept_test.cc
+++ b/tests/mesh_kept_test.cc
@@ -519,6 +519,7 @@
   bool zone_out;          /* likewise */
   int64_t reset_delay_us; /* from the request to the reset */
   int expected_requests;
+  bool budget_spent = false; /* of retries, at the time of the reset */
 };
 
 class ReadRetry : public IdleServerConnection,
@@ -539,6 +540,8 @@
   ASSERT_TRUE (wait ([&] { return loop.now_us >= reset_us; }));
   intake_server_t server = { 10, true, row.leaving, row.zone_out, 0, 0 };
   runner_set_server (a->runner, &server, row.id);
+  while (row.budget_spent && entry_take_resend (a->entry, ""))
+    ;
   kept_connection ()->reset ();
   ASSERT_TRUE (wait ([&] { return ended == 1; }));
   EXPECT_EQ (row.expected_requests, backend->request_counts["id-1"]);
@@ -554,6 +557,7 @@
   { "ServerIsLeaving", 5 * US_PER_S, "i", true, false, 0, 1 },
   { "ZoneIsOut", 5 * US_PER_S, "i", false, true, 0, 1 },
   { "AnotherServer", 5 * US_PER_S, "j", false, false, 0, 1 },
+  { "RetryBudgetIsSpent", 5 * US_PER_S, "i", false, false, 0, 1, true },
 };
 
 INSTANTIATE_TEST_SUITE_P (Table, ReadRetry, testing::ValuesIn (retry_rows),
--- a/tests/support_edge.h
+++ b/tests/support_edge.h
@@ -300,6 +300,12 @@
             [] (void *ctx, uint32_t count) {
               ((Sidecar *)ctx)->crashes += count;
             },
+            [] (void *ctx, const char *route) {
+              entry_count_run (((Sidecar *)ctx)->entry, route);
+            },
+            [] (void *ctx, const char *route) {
+              return entry_take_resend (((Sidecar *)ctx)->entry, route);
+            },
             this };
     runner = runner_new (loop, dialect, loopback (backend), incarnation,
                          learner, suspects, &on_runner);
