Ledger of the requests that a caller is owed a response to

A request's duty to be answered was counted in three places: a counter of open exchanges raised and lowered in three files, the list of exchanges, and the counts at the close of a connection; a response that was complete but not yet taken by the socket was in none.

Now one module owns it. A request enters when its first byte is read, and leaves when the socket has taken its complete response or refusal, or for the reason that its connection is closed. The counter of open exchanges and the counts of unanswered requests are read from the ledger; their own counters are gone.

Operators see what is owed now (partly read, open, unsent, age of the oldest) and what was left partly read or unsent, by the reason of the close.

Its cost on a loaded sidecar was not measured.

--- a/src/edge/http_answer.c
+++ b/src/edge/http_answer.c
@@ -88,6 +88,7 @@
       if (connection->first_exchange == NULL)
         connection->exchange_tail = &connection->first_exchange;
       connection->waiting_count--;
+      connection->unsent_count++;
       if (exchange->close_after)
         connection->close_after_flush = true;
       connection_free_exchange (exchange);
@@ -167,7 +168,8 @@
   if (exchange->chunked)
     bytes_append_text (response_output (exchange), "0\r\n\r\n");
   exchange->response_state = HTTP_RESPONSE_COMPLETE;
-  connection->server->stats.open_exchanges--;
+  ledger_advance (&connection->server->ledger, &connection->account,
+                  &exchange->ledger);
   notify_response_behind (exchange);
   retire_complete_exchanges (connection);
 }
@@ -185,7 +187,6 @@
       return;
     }
   exchange->dispatched = false; /* the handler expects no caller_gone */
-  connection->server->stats.open_exchanges--;
   if (exchange->ends_at_close)
     connection_close (connection, HTTP_CLOSE_ABORTED);
   else
--- a/src/edge/http_connection.c
+++ b/src/edge/http_connection.c
@@ -23,6 +23,8 @@
   exchange->connection = connection;
   exchange->first_byte_us = connection->server->loop->now_us;
   exchange->caller_ip = connection->caller_ip;
+  ledger_enter (&connection->server->ledger, &connection->account,
+                &exchange->ledger, exchange->first_byte_us);
   return exchange;
 }
 
@@ -54,7 +56,6 @@
 {
   http_server_t *server = exchange->connection->server;
   http_server_stats_t *stats = &server->stats;
-  stats->open_exchanges--;
   exchange->unseen_us = caller_unseen_us (exchange->connection);
   exchange->caller_end = exchange->connection->close_report.caller_end;
   stats->caller_gone_counts[loop_gap_bucket (exchange->unseen_us,
@@ -70,15 +71,15 @@
 free_exchanges (http_connection_t *connection)
 {
   http_close_report_t *report = &connection->close_report;
-  uint64_t *unanswered
-      = &connection->server->stats.unanswered_counts[report->reason];
+  ledger_t *ledger = &connection->server->ledger;
+  ledger_account_t *account = &connection->account;
   while (connection->first_exchange != NULL)
     {
       http_exchange_t *exchange = connection->first_exchange;
       connection->first_exchange = exchange->next;
       bool complete = exchange->response_state == HTTP_RESPONSE_COMPLETE;
       report->unanswered_requests += !complete;
-      *unanswered += !complete;
+      ledger_leave (ledger, account, &exchange->ledger, report->reason);
       if (exchange->dispatched && !complete)
         notify_caller_gone (exchange);
       connection_free_exchange (exchange);
@@ -86,7 +87,11 @@
   connection->exchange_tail = &connection->first_exchange;
   connection->waiting_count = 0;
   if (connection->incoming != NULL)
-    connection_free_exchange (connection->incoming);
+    {
+      ledger_leave (ledger, account, &connection->incoming->ledger,
+                    report->reason);
+      connection_free_exchange (connection->incoming);
+    }
   connection->incoming = NULL;
 }
 
@@ -233,6 +238,31 @@
   link_at_front (connection);
 }
 
+static void
+leave_unsent (http_connection_t *connection)
+{
+  const ledger_account_t *account = &connection->account;
+  ledger_leave_unsent (&connection->server->ledger, &connection->account,
+                       connection->unsent_count,
+                       connection->close_report.reason);
+  connection->unsent_count = 0;
+  INVARIANT (account->counts[LEDGER_READING] == 0
+                 && account->counts[LEDGER_OPEN] == 0
+                 && account->counts[LEDGER_UNSENT] == 0,
+             "a connection closed as %s has requests left in the ledger",
+             http_close_reason_name (connection->close_report.reason));
+}
+
+void
+connection_count_sent (http_connection_t *connection)
+{
+  if (bytes_size (&connection->output) > 0)
+    return;
+  ledger_answered (&connection->server->ledger, &connection->account,
+                   connection->unsent_count);
+  connection->unsent_count = 0;
+}
+
 void
 connection_close (http_connection_t *connection, http_close_reason_t reason)
 {
@@ -250,6 +280,7 @@
   reset_if_incomplete (connection);
   close (connection->reader.fd);
   free_exchanges (connection);
+  leave_unsent (connection);
   report_close (connection);
   unlink_connection (connection);
   server->stats.connections--;
@@ -359,6 +390,7 @@
         connection->limits = connection->server->limits;
     }
   ev_io_stop (ev, &connection->writer);
+  connection_count_sent (connection);
   if (connection->close_after_flush && connection->first_exchange == NULL)
     connection_linger (connection);
   else
@@ -379,6 +411,7 @@
           connection->sent_bytes += (uint64_t)sent;
         }
     }
+  connection_count_sent (connection);
 }
 
 static void
--- a/src/edge/http_reader.c
+++ b/src/edge/http_reader.c
@@ -22,7 +22,8 @@
   connection->incoming = NULL;
   connection->last_request_read = true;
   connection->server->stats.malformed_requests++;
-  connection->server->stats.open_exchanges++;
+  ledger_advance (&connection->server->ledger, &connection->account,
+                  &exchange->ledger);
   exchange->close_after = true;
   if (handler->refused_deadline_us != NULL)
     exchange->deadline_us
@@ -264,7 +265,7 @@
   exchange->last_byte_us = server->loop->now_us;
   exchange->dispatched = true;
   append_exchange (connection, exchange);
-  server->stats.open_exchanges++;
+  ledger_advance (&server->ledger, &connection->account, &exchange->ledger);
   if (exchange->close_after)
     connection->last_request_read = true;
   server->handler.request (server->handler.ctx, exchange);
--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -4,6 +4,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "invariant.h"
+
+_Static_assert((int)HTTP_CLOSE_REASON_COUNT <= (int)LEDGER_REASONS_MAX,
+               "the ledger counts by the reason of the close");
+
 enum
 {
   ACCEPTS_PER_ITERATION = 64 /* limited so that other work is not delayed */
@@ -51,6 +56,40 @@
     }
 }
 
+static void
+check_account (const http_connection_t *connection)
+{
+  const uint32_t *counts = connection->account.counts;
+  uint32_t open = 0;
+  uint32_t unsent = connection->unsent_count;
+  for (const http_exchange_t *exchange = connection->first_exchange;
+       exchange != NULL; exchange = exchange->next)
+    if (exchange->response_state == HTTP_RESPONSE_COMPLETE)
+      unsent++;
+    else
+      open++;
+  INVARIANT (counts[LEDGER_READING] == (connection->incoming != NULL)
+                 && counts[LEDGER_OPEN] == open
+                 && counts[LEDGER_UNSENT] == unsent,
+             "a connection has %u open requests and %u unsent responses, the "
+             "ledger %u and %u",
+             open, unsent, counts[LEDGER_OPEN], counts[LEDGER_UNSENT]);
+}
+
+void
+http_server_check_ledger (const http_server_t *server)
+{
+  ledger_account_t total = { 0 };
+  for (const http_connection_t *connection = server->connections;
+       connection != NULL; connection = connection->next)
+    {
+      check_account (connection);
+      for (int stage = 0; stage < LEDGER_STAGE_COUNT; stage++)
+        total.counts[stage] += connection->account.counts[stage];
+    }
+  ledger_check (&server->ledger, &total);
+}
+
 static void
 on_sweep (struct ev_loop *ev, ev_timer *timer, int events)
 {
@@ -64,6 +103,7 @@
       server->notice_end_us = 0;
     }
   for_each_connection (server, connection_check_timeouts);
+  http_server_check_ledger (server);
 }
 
 /* --- the listener ------------------------------------------------------ */
@@ -153,6 +193,7 @@
   ev_timer_stop (server->loop->ev, &server->sweep_timer);
   while (server->connections != NULL)
     connection_close (server->connections, HTTP_CLOSE_FREED);
+  http_server_check_ledger (server);
   loop_cancel (server->loop, &server->free_closed_task);
   connection_free_closed (server);
   free (server);
@@ -198,6 +239,7 @@
     server->notice_end_us = server->loop->now_us + notice_us;
   server->limits = merge_wider_limits (&server->limits, limits);
   server->next_limits = *limits;
+  http_server_check_ledger (server);
 }
 
 void
@@ -262,6 +304,7 @@
       ev_io_stop (server->loop->ev, &connection->reader);
       connection_send_output (connection);
     }
+  http_server_check_ledger (server);
 }
 
 static void
@@ -278,6 +321,7 @@
 {
   server->draining = true;
   for_each_connection (server, drain_connection);
+  http_server_check_ledger (server);
 }
 
 void
@@ -297,7 +341,18 @@
 http_server_stats_t
 http_server_stats (const http_server_t *server)
 {
+  const ledger_t *ledger = &server->ledger;
   http_server_stats_t stats = server->stats;
   stats.accepting = acceptor_stats (&server->acceptor);
+  stats.partly_read = ledger->counts[LEDGER_READING];
+  stats.open_exchanges = ledger->counts[LEDGER_OPEN];
+  stats.unsent = ledger->counts[LEDGER_UNSENT];
+  stats.oldest_us = ledger_oldest_us (ledger, server->loop->now_us);
+  for (int i = 0; i < HTTP_CLOSE_REASON_COUNT; i++)
+    {
+      stats.partly_read_counts[i] = ledger->left[LEDGER_READING][i];
+      stats.unanswered_counts[i] = ledger->left[LEDGER_OPEN][i];
+      stats.unsent_counts[i] = ledger->left[LEDGER_UNSENT][i];
+    }
   return stats;
 }
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -10,6 +10,7 @@
 
 #include "edge/acceptor.h"
 #include "edge/fields.h"
+#include "edge/ledger.h"
 #include "edge/loop.h"
 
 typedef struct http_server_t http_server_t;
@@ -100,6 +101,7 @@
   /* Private.  */
   struct http_connection_t *connection;
   http_exchange_t *next;
+  ledger_entry_t ledger;
   bytes_t output;
   http_response_state_t response_state;
   bool dispatched; /* passed to the handler */
@@ -248,8 +250,10 @@
 typedef struct http_server_stats_t
 {
   uint32_t connections;
-  /* Complete requests without a complete response.  */
-  uint32_t open_exchanges;
+  uint32_t partly_read;    /* requests that have not arrived as a whole */
+  uint32_t open_exchanges; /* complete requests without a complete response */
+  uint32_t unsent;         /* complete responses, not taken by the socket */
+  int64_t oldest_us; /* age of the oldest request without a response, or 0 */
   uint64_t body_bytes;
   uint64_t malformed_requests; /* requests that the server itself refused */
   uint64_t refused_for_room;   /* those of them beyond the connection limit */
@@ -265,6 +269,9 @@
      left, by the reason of the close.  */
   uint64_t close_counts[HTTP_CLOSE_REASON_COUNT];
   uint64_t unanswered_counts[HTTP_CLOSE_REASON_COUNT];
+  /* Requests that they left partly read, and complete responses unsent.  */
+  uint64_t partly_read_counts[HTTP_CLOSE_REASON_COUNT];
+  uint64_t unsent_counts[HTTP_CLOSE_REASON_COUNT];
   /* Complete responses that these connections did not send, as they waited for
      that to an earlier request.  */
   uint64_t responses_behind_counts[HTTP_CLOSE_REASON_COUNT];
--- a/src/edge/http_server_impl.h
+++ b/src/edge/http_server_impl.h
@@ -32,7 +32,9 @@
   /* Complete requests that wait for responses, in order.  */
   http_exchange_t *first_exchange;
   http_exchange_t **exchange_tail;
-  uint32_t waiting_count; /* exchanges in that list */
+  uint32_t waiting_count;   /* exchanges in that list */
+  ledger_account_t account; /* its requests in the server's ledger */
+  uint32_t unsent_count;    /* complete responses in output */
   loop_task_t flush_task;
   loop_task_t resume_task; /* continues to read after a pause */
   /* The server's limits when the newest request began or, between requests,
@@ -83,6 +85,8 @@
   http_connection_t *closed_connections;
   bool draining;
   uint16_t port;
+  ledger_t ledger;
+  /* Its members that the ledger counts are set by http_server_stats.  */
   http_server_stats_t stats;
   http_close_callback_t close_callback; /* may be NULL */
   void *close_callback_ctx;
@@ -129,6 +133,9 @@
 /* Loop task: frees the closed connections of SERVER, an http_server_t.  */
 void connection_free_closed (void *server);
 
+/* Counts the responses that were sent, once no output is left.  */
+void connection_count_sent (http_connection_t *connection);
+
 http_exchange_t *connection_new_exchange (http_connection_t *connection);
 void connection_free_exchange (http_exchange_t *exchange);
 
@@ -153,6 +160,11 @@
 /* Closes the connection and returns true if its caller has closed it.  */
 bool connection_close_if_caller_closed (http_connection_t *connection);
 
+/* --- http_server.c ------------------------------------------------------ */
+
+/* Checks that the ledger and the connections count the same requests.  */
+void http_server_check_ledger (const http_server_t *server);
+
 /* --- http_sweep.c ------------------------------------------------------- */
 
 /* Whether no request is open and no response is still to be sent.  */
--- a/src/edge/metrics.c
+++ b/src/edge/metrics.c
@@ -124,6 +124,11 @@
 append_caller_metrics (bytes_t *out, const http_server_stats_t *callers)
 {
   append_metric (out, "caller_connections", callers->connections);
+  append_metric (out, "caller_requests_partly_read", callers->partly_read);
+  append_metric (out, "caller_requests_open", callers->open_exchanges);
+  append_metric (out, "caller_responses_unsent", callers->unsent);
+  append_metric (out, "caller_request_oldest_ms",
+                 (uint64_t)(callers->oldest_us / US_PER_MS));
   append_metric (out, "caller_malformed_total", callers->malformed_requests);
   append_metric (out, "caller_refused_for_room_total",
                  callers->refused_for_room);
@@ -139,6 +144,10 @@
                               reason, callers->close_counts[i]);
       append_labelled_metric (out, "caller_requests_unanswered_total", "end",
                               reason, callers->unanswered_counts[i]);
+      append_labelled_metric (out, "caller_requests_left_partly_read_total",
+                              "end", reason, callers->partly_read_counts[i]);
+      append_labelled_metric (out, "caller_responses_left_unsent_total", "end",
+                              reason, callers->unsent_counts[i]);
       append_labelled_metric (out, "caller_responses_held_back_total", "end",
                               reason, callers->responses_behind_counts[i]);
       append_labelled_metric (out, "caller_connections_unread_total", "end",
--- a/src/edge/sidecar.c
+++ b/src/edge/sidecar.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "edge/metrics.h"
+#include "invariant.h"
 
 /* A constant whose name ends in _EVERY is the period of an action, counted in
    reports.  */
@@ -533,6 +534,18 @@
       (unsigned long long)runner.queries_unknown);
 }
 
+/* Refusals by the HTTP server itself are complete at once.  */
+static void
+check_open_requests (const sidecar_t *sidecar)
+{
+  uint32_t entry_count = entry_stats (sidecar->entry).open_requests;
+  uint32_t server_count
+      = http_server_stats (sidecar->caller_server).open_exchanges;
+  INVARIANT (entry_count == server_count,
+             "%u requests are open at the entry point, %u in the HTTP server",
+             entry_count, server_count);
+}
+
 static void
 on_tick (struct ev_loop *ev, ev_timer *timer, int events)
 {
@@ -546,6 +559,7 @@
     delay_us = TICK_INTERVAL_MIN_US;
   backend_watch_tick (sidecar->backend_watch);
   log_load (sidecar);
+  check_open_requests (sidecar);
   if (sidecar->phase != PHASE_RUNNING)
     advance_phase (sidecar);
   loop_start_timer (&sidecar->loop, timer,
