Soak: a third of the sidecars have fewer descriptors than callers come

The callers of a sidecar open up to 120 connections; with a limit of 128 descriptors 29 are left for them. Which sidecars is told by seed and number, so the plans of the seeds stay as they are.

--- a/tests/soak_mesh.c
+++ b/tests/soak_mesh.c
@@ -416,6 +416,7 @@
   total->unknown += result.unknown;
   total->closed += result.closed;
   total->runs += result.runs;
+  total->limited += result.limited;
   if (result.violations > 0)
     return fail (soak, seed, result.first);
   if ((after.answered - before.answered) * 4 < after.sent - before.sent)
@@ -508,8 +509,9 @@
     failed += !run_seed (seed, count, keep, &total);
   printf ("%" PRIu64 " seeds, %" PRIu64 " failed; %" PRIu64
           " requests, %" PRIu64 " answered, %" PRIu64 " refused, %" PRIu64
-          " unknown (%" PRIu64 " closed), %" PRIu64 " runs\n",
+          " unknown (%" PRIu64 " closed), %" PRIu64 " runs, limited %" PRIu64
+          " times\n",
           seeds, failed, total.sent, total.answered, total.refused,
-          total.unknown, total.closed, total.runs);
+          total.unknown, total.closed, total.runs, total.limited);
   return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/tests/support_world.c
+++ b/tests/support_world.c
@@ -45,6 +45,8 @@
   LOGGED_MS = 1200,
   SPANS_MAX = 256, /* of trouble */
   LINE_BYTES = 2048,
+  DESCRIPTORS_FEW = 128, /* leave room for fewer callers than come */
+  DESCRIPTORS_MANY = 4096,
   EARLY_TERM = 128 + SIGTERM, /* ended before it began to listen for it */
   /* The users' bounds, and what a loaded machine adds to each.  */
   ZONE_OUT_US = 5 * US_PER_S,
@@ -98,8 +100,9 @@
   relay_fault_t store_path_fault;
   double stop_s;
   uint32_t memory_mb;
-  int64_t overdue_us; /* when a connection of a request out of time ended */
-  int64_t trouble_us; /* a fault of it, when it last began or ended */
+  uint32_t descriptors; /* its limit */
+  int64_t overdue_us;   /* when a connection of a request out of time ended */
+  int64_t trouble_us;   /* a fault of it, when it last began or ended */
   /* The backend server beside it.  */
   http_server_t *backend;
   char id[32];
@@ -993,12 +996,12 @@
            "\"peer_bind\":\"127.0.0.1:%u\",\"metrics\":\"127.0.0.1:%u\","
            "\"backend\":\"127.0.0.1:%u\",\"store\":\"127.0.0.1:%u\","
            "\"stop_s\":%g,\"retry_share\":0.2,\"retry_reserve\":20,"
-           "\"rate_window_s\":5,\"memory_mb\":%u}\n",
+           "\"rate_window_s\":5,\"memory_mb\":%u,\"descriptors_max\":%u}\n",
            at->number, zone_of (at->number), service_of (at->number),
            at->callers.port, at->ready.port, at->announce.port,
            relay_port (at->links), at->bind.port, at->metrics.port,
            at->backend_addr.port, relay_port (at->store_path), at->stop_s,
-           at->memory_mb);
+           at->memory_mb, at->descriptors);
   fclose (file);
 }
 
@@ -1013,6 +1016,9 @@
   at->number = number;
   at->stop_s = 6;
   at->memory_mb = 128;
+  at->descriptors = (world->seed + (uint64_t)number) % 3 == 0
+                        ? DESCRIPTORS_FEW
+                        : DESCRIPTORS_MANY;
   snprintf (at->settings, sizeof at->settings, "%s/sidecar-%d.json",
             world->dir, number);
   at->callers = reserve_addr (world);
@@ -1239,6 +1245,8 @@
   while (fgets (line, sizeof line, file) != NULL)
     {
       line[strcspn (line, "\n")] = '\0';
+      at->world->result.limited
+          += strstr (line, " event=callers-limited ") != NULL;
       check_line (at, line, &closed_behind);
     }
   fclose (file);
--- a/tests/support_world.h
+++ b/tests/support_world.h
@@ -88,6 +88,7 @@
   uint64_t unknown;
   uint64_t closed; /* of the unknown: written whole, then a close */
   uint64_t runs;
+  uint64_t limited; /* log lines on callers beyond the descriptors */
   uint64_t violations;
   char first[512]; /* violation */
 } world_result_t;
