One delayed announcement no longer revives a leaving server

After all sidecars had lost their memory at once, a server whose draining or DELETE had been acknowledged got requests again if one older, delayed announcement of it arrived at its new sidecar. A fresh sidecar has no sequence to compare it with, and ignored that the server's health checks failed.

Now the first announcement that a sidecar receives does not outweigh a failed health check of the same instance, whichever comes first. Later announcements outweigh checks as before.

Tests: mesh_power_loss_test kills all sidecars before and after the acknowledgement of draining and DELETE, and before and after a read or a booking is answered, with the server serving or gone.

The acknowledgement of DELETE is kept in memory only; nothing that a fresh sidecar learns then tells them from current ones but the health check, which may be wrong.

--- a/src/mesh/server_view.c
+++ b/src/mesh/server_view.c
@@ -78,6 +78,7 @@
   bool is_new = !has_id (view, announcement->id)
                 || (view->started_unix_ms > 0
                     && announcement->started_unix_ms > view->started_unix_ms);
+  bool first = view->id[0] == '\0';
   bool leaving = announcement->state == SERVER_LEAVING;
   bool changed = is_new || !view->announced || !view->reachable
                  || leaving != view->leaving
@@ -89,22 +90,37 @@
   view->slots = announcement->slots;
   view->leaving = leaving;
   view->announced = true;
-  view->reachable = true;
+  view->confirmed = !first;
+  view->reachable = !first || strcmp (view->failed_id, view->id) != 0;
   view->cold_start_until_us = announcement->cold_start_left_us > 0
                                   ? now_us + announcement->cold_start_left_us
                                   : 0;
   return changed ? ANNOUNCEMENT_CHANGED : ANNOUNCEMENT_UNCHANGED;
 }
 
+/* The first announcement that this sidecar receives may be a delayed one, of a
+   server that has announced its end to an earlier process of this sidecar, so
+   it does not outweigh a failed health check.  Later ones do: replies to
+   health checks may be wrong.  */
+static bool
+apply_failed_probe (server_view_t *view, const char *id)
+{
+  if (view->id[0] == '\0')
+    snprintf (view->failed_id, sizeof view->failed_id, "%s", id);
+  if (!has_id (view, id) || view->confirmed || !view->reachable)
+    return false;
+  view->reachable = false;
+  return true;
+}
+
 bool
 server_view_apply_probe (server_view_t *view,
                          const server_health_reply_t *probe, int64_t now_us)
 {
-  /* A failed health check is ignored, whether or not announcements arrive:
-     replies to health checks may be wrong, and announcements are
-     authoritative.  */
-  if (!probe->healthy || probe->id[0] == '\0')
+  if (probe->id[0] == '\0')
     return false;
+  if (!probe->healthy)
+    return apply_failed_probe (view, probe->id);
   if (view->gone && has_id (view, probe->id))
     return false;
   bool is_new = !has_id (view, probe->id);
@@ -116,6 +132,7 @@
   if (changed && view->leaving && !is_new)
     return false;
   view->reachable = true;
+  view->confirmed = true;
   if (probe->slots > 0 && !view->announced)
     view->slots = probe->slots;
   if (probe->cold_start_left_us >= 0)
--- a/src/mesh/server_view.h
+++ b/src/mesh/server_view.h
@@ -15,7 +15,9 @@
   uint64_t started_unix_ms; /* start of the server; 0 is unknown */
   uint64_t sequence;        /* of the last announcement */
   uint32_t slots;
-  bool announced; /* this incarnation has announced itself */
+  bool announced;     /* this incarnation has announced itself */
+  bool confirmed;     /* by a second announcement or a health check */
+  char failed_id[64]; /* failed a health check before it was known; "" none */
   bool reachable;
   bool leaving; /* no new requests are to be started */
   bool gone;    /* announced that it has stopped */
@@ -50,8 +52,9 @@
 
 /* Updates VIEW with the reply to a health check.  Returns true if the reply
    has the id of another incarnation of the server than VIEW, or if the server
-   has become reachable.  A failed check and a reply without the id of the
-   server change nothing.  */
+   has become reachable, or is no longer, as a failed check contradicts the
+   only announcement so far.  Any other failed check and a reply without the id
+   of the server change nothing.  */
 bool server_view_apply_probe (server_view_t *view,
                               const server_health_reply_t *probe,
                               int64_t now_us);
--- a/tests/mesh_decisions_test.cc
+++ b/tests/mesh_decisions_test.cc
@@ -1072,6 +1072,30 @@
   EXPECT_EQ (4 * US_PER_S, view.cold_start_until_us);
 }
 
+TEST (Probes, AFailedCheckOutweighsOnlyTheFirstAnnouncement)
+{
+  server_health_reply_t failing = { false, "i", 8, -1 };
+  server_health_reply_t other = { false, "j", 8, -1 };
+  server_announcement_t first = make_announcement ("i", 5, 7);
+  server_announcement_t second = make_announcement ("i", 5, 8);
+  for (bool check_first : { false, true })
+    {
+      server_view_t view;
+      server_view_init (&view, "s");
+      if (check_first)
+        server_view_apply_probe (&view, &failing, US_PER_S);
+      server_view_apply_announcement (&view, &first, US_PER_S);
+      EXPECT_FALSE (server_view_apply_probe (&view, &other, US_PER_S));
+      EXPECT_EQ (!check_first,
+                 server_view_apply_probe (&view, &failing, US_PER_S));
+      EXPECT_FALSE (server_view_is_available (&view));
+      EXPECT_EQ (ANNOUNCEMENT_CHANGED,
+                 server_view_apply_announcement (&view, &second, US_PER_S));
+      EXPECT_FALSE (server_view_apply_probe (&view, &failing, US_PER_S));
+      EXPECT_TRUE (server_view_is_available (&view));
+    }
+}
+
 TEST (Probes, AServerThatIsGoneStaysUnavailableEvenIfHealthy)
 {
   server_view_t view;
--- /dev/null
+++ b/tests/mesh_power_loss_test.cc
@@ -0,0 +1,342 @@
+/* All sidecars lose their memory at the same moment, just before or after
+   something was acknowledged or answered.  What is left is the store, with the
+   configuration and the members, and what the backend server itself says.  */
+
+#include "support_edge.h"
+
+#include <algorithm>
+
+namespace
+{
+const int64_t PRESS_US = 400 * US_PER_MS; /* several health checks */
+const int64_t REQUEST_INTERVAL_US = 5 * US_PER_MS;
+
+enum told_t
+{
+  TOLD_DRAINING,
+  TOLD_DELETE
+};
+
+enum late_t
+{
+  NOT_LATE,
+  LATE_AT_ONCE, /* before the first health check of the new life */
+  LATE_AFTER_A_CHECK,
+  TWO_LATE
+};
+
+class PowerLoss : public Runs
+{
+protected:
+  backend_watch_t *watch = nullptr;
+  http_server_t *announce = nullptr;
+  uint16_t port = 0; /* of the backend server, also after its end */
+  std::string instance = "i";
+  bool leaving = false;
+  bool hold = false; /* the server keeps its requests open */
+  int health_checks = 0;
+  std::vector<std::string> run_ids; /* of the requests that reached it */
+
+  void
+  SetUp () override
+  {
+    Runs::SetUp ();
+    port = backend->port ();
+    backend->answer = [this] (http_exchange_t *exchange) { serve (exchange); };
+    kill_all ();
+    start_all ();
+  }
+  void
+  TearDown () override
+  {
+    kill_all ();
+    Runs::TearDown ();
+  }
+  void
+  serve (http_exchange_t *exchange)
+  {
+    if (std::string (bytes_data (&exchange->target)) == "/health")
+      {
+        health_checks++;
+        std::string fields
+            = "X-Instance-Id: " + instance + "\r\nX-Server-Load: 0,0,10\r\n";
+        http_respond (exchange, leaving ? 503 : 200, fields.data (),
+                      fields.size (), "", 0);
+        return;
+      }
+    run_ids.push_back (id_of (exchange));
+    if (hold)
+      backend->open.push_back (exchange);
+    else
+      answer_signed (exchange, id_of (exchange), "whole");
+  }
+  /* Ends all sidecars as a loss of power does: nobody is told.  */
+  void
+  kill_all ()
+  {
+    a.reset ();
+    http_server_free (announce);
+    announce = nullptr;
+    b.reset ();
+    backend_watch_free (watch);
+    watch = nullptr;
+  }
+  /* Starts all sidecars with what the store holds.  */
+  void
+  start_all ()
+  {
+    static uint64_t incarnation = 1000;
+    error_info_t error = {};
+    a = std::make_unique<Sidecar> (&loop, &rng, &log, "front", 1,
+                                   ++incarnation);
+    b = std::make_unique<Sidecar> (&loop, &rng, &log, "s", port, ++incarnation,
+                                   b_port.port);
+    watch = backend_watch_new (
+        &loop, platform_dialect (), b->runner, "s", &log, [] (void *) {},
+        nullptr);
+    http_handler_t handler = backend_watch_handler (watch);
+    http_limits_t http_limits = limits ();
+    announce
+        = http_server_new (&loop, loopback (), &http_limits, &handler, &error);
+    ASSERT_NE (nullptr, announce) << error.message;
+    entry_set_policy (a->entry, policy);
+    quota_set_member_count (a->quota, 1);
+    peer_set_add (a->peers, peer_set_own_vm (b->peers));
+    backend_watch_set_service (watch, &policy->services[0]);
+  }
+  void
+  turn ()
+  {
+    if (b->lost > 0)
+      backend_watch_mark_unreachable (watch, nullptr);
+    b->lost = 0;
+    b->identity.slots = backend_watch_view (watch)->slots;
+    b->identity.accepting = backend_watch_is_accepting (watch);
+    peer_set_tick (a->peers, true, true);
+    peer_set_tick (b->peers, true, true);
+    backend_watch_tick (watch);
+    runner_tick (b->runner);
+  }
+  bool
+  wait_turning (const std::function<bool ()> &done)
+  {
+    return wait ([&] {
+      turn ();
+      return done ();
+    });
+  }
+  std::string
+  announcement (int sequence, const char *state)
+  {
+    const std::string body
+        = R"({"service":"s","address":"127.0.0.1:1","zone":"z","version":"v",)"
+          R"("slots":10,"coldRemainingS":0,"born":1,"state":")"
+          + std::string (state) + R"(","sequence":)"
+          + std::to_string (sequence) + "}";
+    return "PUT /-/instances/" + instance
+           + " HTTP/1.1\r\nHost: h\r\nContent-Length: "
+           + std::to_string (body.size ()) + "\r\n\r\n" + body;
+  }
+  std::string
+  told (told_t what)
+  {
+    return what == TOLD_DRAINING
+               ? announcement (2, "draining")
+               : "DELETE /-/instances/" + instance
+                     + " HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+  }
+  void
+  announce_acknowledged (const std::string &text)
+  {
+    Caller server (http_server_port (announce));
+    server.send (text);
+    ASSERT_TRUE (wait_turning ([&] { return server.has ("200 OK"); }));
+  }
+  /* Announces the server and waits until A would send requests to it.  */
+  void
+  announce_ready ()
+  {
+    announce_acknowledged (announcement (1, "ready"));
+    ASSERT_TRUE (wait_turning (
+        [&] { return placement_accepting_count (a->placement, "s") == 1; }));
+  }
+  /* Requests from callers of A and from other sidecars keep arriving.  */
+  void
+  press ()
+  {
+    Caller caller (http_server_port (a->callers));
+    caller.send (request ("GET", "/read/9", "after-read"));
+    int64_t begun_us = loop.now_us;
+    int sent = 0;
+    ASSERT_TRUE (wait_turning ([&] {
+      if (loop.now_us - begun_us >= sent * REQUEST_INTERVAL_US)
+        {
+          std::string id = "after-" + std::to_string (++sent);
+          call_request_t request = call (id.c_str (), sent % 2 == 0);
+          run_t *run = nullptr;
+          runner_start_call (b->runner, &request, &sink, &run, &failure);
+        }
+      return loop.now_us - begun_us >= PRESS_US;
+    }));
+  }
+};
+
+struct LeavingRow
+{
+  const char *name;
+  told_t told;
+  bool acknowledged; /* before the sidecars die */
+  bool gone;         /* the server has ended too */
+  bool told_again;   /* the server repeats its announcement */
+  late_t late;       /* when an older announcement arrives */
+};
+
+class LeavingServer : public PowerLoss,
+                      public testing::WithParamInterface<LeavingRow>
+{
+};
+
+TEST_P (LeavingServer, GetsNoRequestAfterAllSidecarsRestart)
+{
+  const LeavingRow &row = GetParam ();
+  announce_ready ();
+  Caller first (http_server_port (a->callers));
+  first.send (request ("GET", "/read/1", "before"));
+  ASSERT_TRUE (wait_turning ([&] { return first.has ("whole"); }));
+  leaving = true;
+  if (row.acknowledged)
+    announce_acknowledged (told (row.told));
+  else
+    {
+      Caller server (http_server_port (announce));
+      server.send (told (row.told));
+    }
+  kill_all ();
+  run_ids.clear ();
+  health_checks = 0;
+  if (row.gone)
+    backend.reset ();
+  start_all ();
+  if (row.late == LATE_AT_ONCE)
+    {
+      Caller server (http_server_port (announce));
+      server.send (announcement (1, "ready"));
+      ASSERT_TRUE (wait ([&] { return server.has ("200 OK"); }));
+      ASSERT_TRUE (wait_turning ([&] { return health_checks >= 2; }));
+    }
+  if (row.late == LATE_AFTER_A_CHECK)
+    {
+      ASSERT_TRUE (wait_turning ([&] { return health_checks >= 2; }));
+      announce_acknowledged (announcement (1, "ready"));
+    }
+  if (row.late == TWO_LATE)
+    for (int sequence : { 1, 2 })
+      announce_acknowledged (announcement (sequence, "ready"));
+  if (row.told_again)
+    announce_acknowledged (told (row.told));
+  press ();
+  EXPECT_EQ (std::vector<std::string> (), run_ids);
+  EXPECT_EQ (0u, placement_accepting_count (a->placement, "s"));
+  if (row.gone)
+    return;
+  EXPECT_TRUE (row.told_again || row.late != NOT_LATE || health_checks >= 2);
+  leaving = false;
+  instance = "j";
+  announce_ready ();
+  Caller next (http_server_port (a->callers));
+  next.send (request ("GET", "/read/2", "next"));
+  EXPECT_TRUE (wait_turning ([&] { return next.has ("whole"); }));
+}
+
+const LeavingRow leaving_rows[] = {
+  { "DrainingSent", TOLD_DRAINING, false, false, false, NOT_LATE },
+  { "DrainingSentServerGone", TOLD_DRAINING, false, true, false, NOT_LATE },
+  { "DrainingSentAndRepeated", TOLD_DRAINING, false, false, true, NOT_LATE },
+  { "DrainingAcknowledged", TOLD_DRAINING, true, false, false, NOT_LATE },
+  { "DrainingAcknowledgedServerGone", TOLD_DRAINING, true, true, false,
+    NOT_LATE },
+  { "DrainingAcknowledgedAndRepeated", TOLD_DRAINING, true, false, true,
+    NOT_LATE },
+  { "DrainingAcknowledgedOlderOneLate", TOLD_DRAINING, true, false, false,
+    LATE_AFTER_A_CHECK },
+  { "DrainingRepeatedAfterAnOlderOne", TOLD_DRAINING, true, false, true,
+    LATE_AT_ONCE },
+  { "DeleteSent", TOLD_DELETE, false, false, false, NOT_LATE },
+  { "DeleteSentServerGone", TOLD_DELETE, false, true, false, NOT_LATE },
+  { "DeleteSentAndRepeated", TOLD_DELETE, false, false, true, NOT_LATE },
+  { "DeleteAcknowledged", TOLD_DELETE, true, false, false, NOT_LATE },
+  { "DeleteAcknowledgedServerGone", TOLD_DELETE, true, true, false, NOT_LATE },
+  { "DeleteAcknowledgedOlderOneLate", TOLD_DELETE, true, false, false,
+    LATE_AFTER_A_CHECK },
+  { "DrainingAcknowledgedOlderOneAtOnce", TOLD_DRAINING, true, false, false,
+    LATE_AT_ONCE },
+  { "DeleteAcknowledgedTwoOlderOnesLate", TOLD_DELETE, true, false, false,
+    TWO_LATE },
+  { "DeleteAcknowledgedOlderOneAtOnce", TOLD_DELETE, true, false, false,
+    LATE_AT_ONCE },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, LeavingServer,
+                          testing::ValuesIn (leaving_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+
+struct AnsweredRow
+{
+  const char *name;
+  const char *method;
+  const char *path;
+  bool answered; /* before the sidecars die */
+  bool gone;     /* the server has ended too */
+};
+
+class Answered : public PowerLoss,
+                 public testing::WithParamInterface<AnsweredRow>
+{
+};
+
+TEST_P (Answered, RunsOnceAndIsWholeAfterAllSidecarsRestart)
+{
+  const AnsweredRow &row = GetParam ();
+  announce_ready ();
+  hold = true;
+  Caller caller (http_server_port (a->callers));
+  caller.send (request (row.method, row.path, "id-1"));
+  ASSERT_TRUE (wait_turning ([&] { return backend->open.size () == 1; }));
+  EXPECT_FALSE (caller.has ("HTTP/1.1")) << "the server has not answered";
+  if (row.answered)
+    {
+      answer_signed (backend->open[0], "id-1", "whole");
+      backend->open.clear ();
+      ASSERT_TRUE (wait_turning ([&] { return caller.has ("whole"); }));
+    }
+  kill_all ();
+  if (row.gone)
+    backend.reset ();
+  hold = false;
+  start_all ();
+  if (!row.gone)
+    announce_ready ();
+  press ();
+  EXPECT_EQ (1, std::count (run_ids.begin (), run_ids.end (), "id-1"));
+  EXPECT_EQ (row.answered, caller.has ("HTTP/1.1 200"));
+  EXPECT_EQ (row.gone, run_ids.size () == 1) << "others are served";
+}
+
+const AnsweredRow answered_rows[] = {
+  { "ReadRunning", "GET", "/read/1", false, false },
+  { "ReadRunningServerGone", "GET", "/read/1", false, true },
+  { "ReadAnswered", "GET", "/read/1", true, false },
+  { "ReadAnsweredServerGone", "GET", "/read/1", true, true },
+  { "BookingRunning", "POST", "/book/1", false, false },
+  { "BookingRunningServerGone", "POST", "/book/1", false, true },
+  { "BookingAnswered", "POST", "/book/1", true, false },
+  { "BookingAnsweredServerGone", "POST", "/book/1", true, true },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, Answered, testing::ValuesIn (answered_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+}
