Tell a lack of sockets of our own from a loss of the backend server

Callers saw: while a sidecar had no free descriptor, its healthy backend server was marked unreachable for the whole fleet, and requests became suspects of a crash.

Cause: the client dropped the errno of loop_connect, so that EMFILE was the same as a refused connection. The store was taken for lost likewise.

Why it works: the errno decides between HTTP_FAILURE_CONNECT and HTTP_FAILURE_NO_SOCKET. The latter refuses the run as not run (no-socket), with the retry of other refusals, and reaches neither runner_record_crash, server_lost, a health result nor the store's failures. Lacks are counted by use (sockets_lacking_total) and logged with each report that finds new ones; links keep their back-off. The cause is the last of its table: sidecars of before read it as unknown, and refused.

--- a/src/edge/entry_place.c
+++ b/src/edge/entry_place.c
@@ -287,6 +287,7 @@
                        || exchange->cause == CAUSE_NO_PEER
                        || exchange->cause == CAUSE_NO_SERVER
                        || exchange->cause == CAUSE_CONNECT_FAILED
+                       || exchange->cause == CAUSE_NO_SOCKET
                        || exchange->cause == CAUSE_SERVER_CHANGED
                        || exchange->cause == CAUSE_LEAVING;
   int64_t until_us = exchange->run_abandoned ? last_moment_us (exchange)
--- a/src/edge/http_client.c
+++ b/src/edge/http_client.c
@@ -33,6 +33,7 @@
   http_response_handler_t handler;
   loop_task_t flush_task;
   loop_task_t connect_failed_task; /* reports a connect that failed at once */
+  int connect_errno;               /* of that connect */
   int64_t idle_since_us;
   int64_t idle_timeout_us;
   int64_t deadline_us;    /* of the call, or 0 */
@@ -67,9 +68,10 @@
 };
 
 static const char *const failure_names[HTTP_FAILURE_COUNT] = {
-  [HTTP_FAILURE_CONNECT] = "connect",   [HTTP_FAILURE_STALE] = "stale",
-  [HTTP_FAILURE_TRUNCATED] = "cut",     [HTTP_FAILURE_MALFORMED] = "garbled",
-  [HTTP_FAILURE_REJECTED] = "rejected", [HTTP_FAILURE_DEADLINE] = "overdue",
+  [HTTP_FAILURE_CONNECT] = "connect",     [HTTP_FAILURE_STALE] = "stale",
+  [HTTP_FAILURE_TRUNCATED] = "cut",       [HTTP_FAILURE_MALFORMED] = "garbled",
+  [HTTP_FAILURE_REJECTED] = "rejected",   [HTTP_FAILURE_DEADLINE] = "overdue",
+  [HTTP_FAILURE_NO_SOCKET] = "no-socket",
 };
 
 const char *
@@ -455,7 +457,14 @@
 static void
 on_connect_failed (void *ctx)
 {
-  fail_call (ctx, HTTP_FAILURE_CONNECT);
+  http_call_t *call = ctx;
+  if (!loop_is_connect_lack (call->connect_errno))
+    {
+      fail_call (call, HTTP_FAILURE_CONNECT);
+      return;
+    }
+  call->client->stats.sockets_lacking++;
+  fail_call (call, HTTP_FAILURE_NO_SOCKET);
 }
 
 /* Connects CALL, which has no open socket.  */
@@ -464,6 +473,7 @@
 {
   http_client_t *client = call->client;
   int fd = loop_connect (client->addr, client->options.ack_timeout_ms);
+  int connect_errno = errno;
   call->connecting = true;
   call->reused = false;
   http_parser_init (&call->parser, HTTP_RESPONSE);
@@ -473,6 +483,7 @@
   client->stats.connections_opened++;
   if (fd < 0)
     {
+      call->connect_errno = connect_errno;
       loop_defer (client->loop, &call->connect_failed_task);
       return;
     }
--- a/src/edge/http_client.h
+++ b/src/edge/http_client.h
@@ -29,6 +29,8 @@
   HTTP_FAILURE_REJECTED,  /* the handler rejected the response head */
   HTTP_FAILURE_DEADLINE,  /* the deadline passed before the response was
                              complete */
+  HTTP_FAILURE_NO_SOCKET, /* this process cannot open a socket; nothing was
+                             sent, and it tells nothing of the server */
   HTTP_FAILURE_COUNT
 } http_failure_t;
 
@@ -111,6 +113,7 @@
   /* Idle connections that were found closed, or with unexpected data on them,
      before a byte of the next request was sent.  */
   uint64_t connections_replaced;
+  uint64_t sockets_lacking; /* calls failed as HTTP_FAILURE_NO_SOCKET */
 } http_client_stats_t;
 
 http_client_stats_t http_client_stats (const http_client_t *client);
--- a/src/edge/loop.c
+++ b/src/edge/loop.c
@@ -218,6 +218,19 @@
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof count);
 }
 
+bool
+loop_is_lack (int error)
+{
+  return error == EMFILE || error == ENFILE || error == ENOBUFS
+         || error == ENOMEM;
+}
+
+bool
+loop_is_connect_lack (int error)
+{
+  return loop_is_lack (error) || error == EADDRNOTAVAIL;
+}
+
 int
 loop_connect (endpoint_addr_t addr, uint32_t ack_timeout_ms)
 {
--- a/src/edge/loop.h
+++ b/src/edge/loop.h
@@ -80,6 +80,13 @@
    on.  */
 int loop_connect (endpoint_addr_t addr, uint32_t ack_timeout_ms);
 
+/* Whether ERROR, the errno of a call that opens or accepts a socket, tells
+   that this process or its host lacks descriptors or memory.  */
+bool loop_is_lack (int error);
+
+/* The same for the errno of loop_connect, for which ports can lack too.  */
+bool loop_is_connect_lack (int error);
+
 /* Sets the options of an accepted socket: TCP_NODELAY, and ACK_TIMEOUT_MS as
    above.  */
 void loop_set_socket_options (int fd, uint32_t ack_timeout_ms);
--- a/src/edge/metrics.c
+++ b/src/edge/metrics.c
@@ -199,6 +199,20 @@
   append_metric (out, "log_lines_lost_total", input->log->lines_lost);
 }
 
+static void
+append_lack_metrics (bytes_t *out, const metrics_input_t *input)
+{
+  const uint64_t lacking[DESCRIPTORS_USE_COUNT] = {
+    [DESCRIPTORS_LINKS] = input->peers.sockets_lacking,
+    [DESCRIPTORS_BACKEND] = input->runner.connections.sockets_lacking,
+    [DESCRIPTORS_STORE] = input->store.sockets_lacking,
+  };
+  for (int i = DESCRIPTORS_LINKS; i <= DESCRIPTORS_STORE; i++)
+    append_labelled_metric (out, "sockets_lacking_total", "use",
+                            descriptor_use_name ((descriptor_use_t)i),
+                            lacking[i]);
+}
+
 static void
 append_descriptor_metrics (bytes_t *out, const metrics_input_t *input)
 {
@@ -247,6 +261,7 @@
   append_caller_metrics (out, &input->callers);
   append_metric (out, "config_version", input->config_version);
   append_descriptor_metrics (out, input);
+  append_lack_metrics (out, input);
   append_config_metrics (out, &input->config);
   append_process_metrics (out, input);
 }
--- a/src/edge/peer.c
+++ b/src/edge/peer.c
@@ -1,5 +1,6 @@
 #include "edge/peer_impl.h"
 
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -130,6 +131,8 @@
       || peers->loop->now_us < peer->next_connect_us)
     return;
   int fd = loop_connect (vm_addr (peer->vm), LINK_ACK_TIMEOUT_MS);
+  if (fd < 0 && loop_is_connect_lack (errno))
+    peers->stats.sockets_lacking++;
   peer->next_connect_us = peers->loop->now_us + peer->reconnect_delay_us;
   peer->reconnect_delay_us
       = peer->reconnect_delay_us * 2 < RECONNECT_DELAY_MAX_US
--- a/src/edge/peer.h
+++ b/src/edge/peer.h
@@ -164,8 +164,9 @@
 {
   uint32_t members;
   uint32_t peers_up;
-  uint32_t links_open; /* those that are connecting included */
-  uint64_t links_lost; /* connections closed after the first report */
+  uint32_t links_open;      /* those that are connecting included */
+  uint64_t sockets_lacking; /* links not opened for lack of a socket */
+  uint64_t links_lost;      /* connections closed after the first report */
   uint64_t frames_in;
   uint64_t frames_out;
   uint64_t bytes_out;
--- a/src/edge/runner.h
+++ b/src/edge/runner.h
@@ -30,8 +30,8 @@
      that it is the instance SERVER_ID, not the one that the request was meant
      for.  */
   void (*server_lost) (void *ctx, const char *server_id);
-  /* A started run has failed, other than by the server's refusal to run it.
-     To be logged.  */
+  /* A started run has failed, other than by the server's refusal to run it or
+     for lack of a socket to send it on.  To be logged.  */
   void (*run_failed) (void *ctx, const char *attempt_id, const char *server_id,
                       cause_t cause);
   /* The backend server has crashed and COUNT requests are suspected of it, or
@@ -119,7 +119,7 @@
 
 /* Sends a health check for PATH and passes its result to CALLBACK.  A check
    that fails gives a result that is not healthy, but if there is no reply
-   within ten seconds, CALLBACK is not called.  */
+   within ten seconds, or no socket for it, CALLBACK is not called.  */
 typedef void (*runner_probe_callback_t) (void *ctx,
                                          const server_health_reply_t *probe);
 void runner_probe (runner_t *runner, const char *path,
--- a/src/edge/runner_answer.c
+++ b/src/edge/runner_answer.c
@@ -385,6 +385,11 @@
       cause = CAUSE_CONNECT_FAILED;
       kind = FAILURE_REFUSED;
     }
+  else if (http_failure == HTTP_FAILURE_NO_SOCKET)
+    {
+      cause = CAUSE_NO_SOCKET;
+      kind = FAILURE_REFUSED;
+    }
   else if (http_failure == HTTP_FAILURE_MALFORMED)
     {
       cause = CAUSE_MALFORMED_REPLY;
@@ -405,7 +410,7 @@
   /* The first attempt may have run, even if the second was refused.  */
   if (kind == FAILURE_REFUSED && run->resent)
     kind = FAILURE_OUTCOME_UNKNOWN;
-  if (cause != CAUSE_SERVER_SHED)
+  if (cause != CAUSE_SERVER_SHED && cause != CAUSE_NO_SOCKET)
     runner->handler.run_failed (runner->handler.ctx, run->attempt_id,
                                 run->server_id, cause);
   run_fail (run, kind, cause);
--- a/src/edge/runner_probe.c
+++ b/src/edge/runner_probe.c
@@ -67,7 +67,7 @@
   call->probe = (server_health_reply_t){ .cold_start_left_us = -1 };
   /* A server whose slots are all busy may not reply in time; that does not
      make it unhealthy.  */
-  if (failure != HTTP_FAILURE_DEADLINE)
+  if (failure != HTTP_FAILURE_DEADLINE && failure != HTTP_FAILURE_NO_SOCKET)
     call->callback (call->ctx, &call->probe);
   free (call);
 }
--- a/src/edge/sidecar_descriptors.c
+++ b/src/edge/sidecar_descriptors.c
@@ -34,9 +34,26 @@
   http_server_set_connection_limits (sidecar->metrics_server, &auxiliary);
 }
 
+static void
+log_lack (sidecar_t *sidecar)
+{
+  uint64_t backend
+      = runner_stats (sidecar->runner).connections.sockets_lacking;
+  uint64_t store = store_stats (sidecar->store).sockets_lacking;
+  uint64_t links = peer_set_stats (sidecar->peers).sockets_lacking;
+  if (backend + store + links == sidecar->logged_lacking)
+    return;
+  sidecar->logged_lacking = backend + store + links;
+  event_log_write (&sidecar->log, EVENT_CONNECTION, "sockets-lacking",
+                   "backend=%llu store=%llu links=%llu",
+                   (unsigned long long)backend, (unsigned long long)store,
+                   (unsigned long long)links);
+}
+
 void
 sidecar_log_descriptors (sidecar_t *sidecar)
 {
+  log_lack (sidecar);
   http_server_stats_t callers = http_server_stats (sidecar->caller_server);
   uint64_t closed = callers.close_counts[HTTP_CLOSE_ROOM];
   uint64_t events
--- a/src/edge/sidecar_impl.h
+++ b/src/edge/sidecar_impl.h
@@ -95,6 +95,7 @@
   uint64_t logged_frames_dropped[TRAFFIC_COUNT];
   descriptor_budget_t descriptors;
   uint64_t logged_room_events; /* what the last line callers-limited told */
+  uint64_t logged_lacking;     /* what the last line sockets-lacking told */
 };
 
 /* --- sidecar_descriptors.c --------------------------------------------- */
@@ -103,8 +104,8 @@
    number of sidecars, and limits the connections of the listeners.  */
 void sidecar_apply_descriptor_limits (sidecar_t *sidecar);
 
-/* Logs what was done to keep callers to their part, if anything was since the
-   last call.  */
+/* Logs what was done to keep callers to their part, and which sockets could
+   not be opened, if anything has changed since the last call.  */
 void sidecar_log_descriptors (sidecar_t *sidecar);
 
 /* Fills OPEN, which is zeroed, with the sockets that are open by use.  Those
--- a/src/edge/store.c
+++ b/src/edge/store.c
@@ -105,15 +105,21 @@
 }
 
 static void
-schedule_retry (requester_t *requester)
+back_off (requester_t *requester)
 {
   requester->call = NULL;
-  requester->store->stats.failures++;
   schedule_request (requester, requester->retry_delay_us);
   requester->retry_delay_us
       = doubled_delay (requester->retry_delay_us, RETRY_DELAY_MAX_US);
 }
 
+static void
+schedule_retry (requester_t *requester)
+{
+  requester->store->stats.failures++;
+  back_off (requester);
+}
+
 static void
 handle_request_failure (requester_t *requester, int status)
 {
@@ -161,9 +167,11 @@
 on_failure (void *ctx, http_failure_t failure)
 {
   requester_t *requester = ctx;
-  (void)failure;
   ev_timer_stop (requester->store->loop->ev, &requester->timer);
-  handle_request_failure (requester, 0);
+  if (failure == HTTP_FAILURE_NO_SOCKET)
+    back_off (requester);
+  else
+    handle_request_failure (requester, 0);
 }
 
 static void
@@ -496,6 +504,8 @@
 store_stats (const store_t *store)
 {
   store_stats_t stats = store->stats;
-  stats.connections = http_client_stats (store->client).connections;
+  http_client_stats_t client = http_client_stats (store->client);
+  stats.connections = client.connections;
+  stats.sockets_lacking = client.sockets_lacking;
   return stats;
 }
--- a/src/edge/store.h
+++ b/src/edge/store.h
@@ -59,6 +59,8 @@
   uint64_t reads;
   uint64_t writes;
   uint64_t failures;
+  uint64_t sockets_lacking; /* requests not sent for lack of a socket, which
+                               are no failures */
   uint64_t bytes_in;
   uint32_t connections;
   bool reachable;
--- a/src/mesh/call.h
+++ b/src/mesh/call.h
@@ -84,6 +84,7 @@
    version, gave a cause that this one does not know; it is not sent itself.
    OUTCOME_NOT_KEPT: that sidecar knows no run of the idempotent call whose
    outcome was asked for; it may have run.
+   NO_SOCKET: the sidecar of the server cannot open a socket to it.
 
    The values are sent between sidecars of different versions.  New causes go
    to the end.  */
@@ -110,7 +111,8 @@
   CAUSE (NO_PEER, "no-peer")                                                  \
   CAUSE (STOPPING, "stopping")                                                \
   CAUSE (UNKNOWN, "unknown")                                                  \
-  CAUSE (OUTCOME_NOT_KEPT, "outcome-not-kept")
+  CAUSE (OUTCOME_NOT_KEPT, "outcome-not-kept")                                \
+  CAUSE (NO_SOCKET, "no-socket")
 
 typedef enum cause_t
 {
--- a/tests/mesh_closes_test.cc
+++ b/tests/mesh_closes_test.cc
@@ -461,6 +461,9 @@
   input.callers.refused_for_room = 8;
   input.descriptors.parts[DESCRIPTORS_LINKS] = 9;
   input.descriptors_open[DESCRIPTORS_CALLERS] = 10;
+  input.runner.connections.sockets_lacking = 11;
+  input.store.sockets_lacking = 12;
+  input.peers.sockets_lacking = 13;
   metrics_write (&text, &input);
   std::string got (bytes_data (&text), bytes_size (&text));
   bytes_free (&text);
@@ -474,7 +477,10 @@
           "accepting_paused_us_total{listener=\"peer\"} 7",
           "caller_refused_for_room_total 8",
           "descriptors_allowed{use=\"links\"} 9",
-          "descriptors_open{use=\"callers\"} 10" };
+          "descriptors_open{use=\"callers\"} 10",
+          "sockets_lacking_total{use=\"backend\"} 11",
+          "sockets_lacking_total{use=\"store\"} 12",
+          "sockets_lacking_total{use=\"links\"} 13" };
   for (const char *line : lines)
     EXPECT_NE (std::string::npos,
                got.find ("redwingford_" + std::string (line) + "\n"))
--- a/tests/mesh_descriptors_test.cc
+++ b/tests/mesh_descriptors_test.cc
@@ -2,6 +2,7 @@
 
 extern "C"
 {
+#include "edge/store.h"
 #include "mesh/descriptor_budget.h"
 }
 
@@ -302,6 +303,89 @@
   }));
 }
 
+TEST_F (Two, LackOfDescriptorsIsNoLossOfTheServer)
+{
+  Caller caller (http_server_port (a->callers));
+  ASSERT_TRUE (
+      wait ([&] { return http_server_stats (a->callers).connections == 1; }));
+  {
+    FewDescriptors none (0);
+    caller.send (request ("GET", "/read/1", "id-1"));
+    wait ([&] { return b->lost > 0; }, 500 * US_PER_MS);
+  }
+  EXPECT_EQ (0, b->lost);
+  EXPECT_LE (1u, runner_stats (b->runner).connections.sockets_lacking);
+  EXPECT_EQ (0u, runner_stats (b->runner).failures[CAUSE_CONNECT_FAILED]);
+}
+
+TEST_F (Two, CallerIsToldThatNothingRanForLackOfDescriptors)
+{
+  Caller caller (http_server_port (a->callers));
+  ASSERT_TRUE (
+      wait ([&] { return http_server_stats (a->callers).connections == 1; }));
+  FewDescriptors none (0);
+  caller.send (request ("POST", "/book/1", "id-1"));
+  ASSERT_TRUE (wait ([&] { return caller.has ("HTTP/1.1 "); }));
+  EXPECT_TRUE (caller.has ("HTTP/1.1 503 ")) << caller.got;
+  EXPECT_TRUE (backend->targets.empty ());
+  EXPECT_LE (1u, runner_stats (b->runner).failures[CAUSE_NO_SOCKET]);
+  EXPECT_EQ (0u, b->crashes);
+}
+
+TEST_F (Two, HealthCheckWithoutASocketTellsNothingOfTheServer)
+{
+  bool told = false;
+  FewDescriptors none (0);
+  runner_probe (
+      b->runner, "/health",
+      [] (void *ctx, const server_health_reply_t *) { *(bool *)ctx = true; },
+      &told);
+  EXPECT_TRUE (wait ([&] {
+    return runner_stats (b->runner).connections.sockets_lacking == 1;
+  }));
+  EXPECT_FALSE (told);
+}
+
+TEST_F (Two, LinkThatLacksASocketIsCountedAndDialledAgain)
+{
+  HeldPort other;
+  FewDescriptors none (0);
+  peer_set_add (a->peers, vm_id_make (INADDR_LOOPBACK, other.port));
+  EXPECT_EQ (1u, peer_set_stats (a->peers).sockets_lacking);
+  EXPECT_TRUE (wait ([&] {
+    peer_set_tick (a->peers, false, true);
+    return peer_set_stats (a->peers).sockets_lacking >= 2;
+  }));
+}
+
+TEST_F (Descriptors, LackOfThemIsNoLossOfTheStore)
+{
+  store_t *store = store_new (&loop, platform_dialect (),
+                              loopback (server->port ()), &rng, &log);
+  {
+    FewDescriptors none (0);
+    store_put (store, "topic", "key", "value");
+    EXPECT_TRUE (
+        wait ([&] { return store_stats (store).sockets_lacking >= 2; }));
+    EXPECT_EQ (0u, store_stats (store).failures);
+    EXPECT_TRUE (server->targets.empty ());
+  }
+  EXPECT_TRUE (wait ([&] { return !server->targets.empty (); }));
+  store_free (store);
+}
+
+TEST (Lack, IsTheProcessesOwn)
+{
+  for (int error : { EMFILE, ENFILE, ENOBUFS, ENOMEM })
+    EXPECT_TRUE (loop_is_lack (error) && loop_is_connect_lack (error))
+        << error;
+  EXPECT_TRUE (loop_is_connect_lack (EADDRNOTAVAIL));
+  EXPECT_FALSE (loop_is_lack (EADDRNOTAVAIL));
+  for (int error : { 0, ECONNREFUSED, ENETUNREACH, EPERM, ECONNABORTED })
+    EXPECT_FALSE (loop_is_lack (error) || loop_is_connect_lack (error))
+        << error;
+}
+
 /* --- the budget -------------------------------------------------------- */
 
 TEST (DescriptorBudget, PartsAddUpToTheTotalForAnyFleet)
