Keep the list of connections sorted by the time that it is judged by

Callers saw: beside 20 resting connections, 4 of 12 new callers got 503 for lack of room when the oldest connection's caller read slowly.

Cause: server_make_room walks from the tail and stops at the first connection with recent progress, but acknowledged output, lingering and the begin of a request renewed the time without moving the connection to the front.

Why it works: only connection_note_progress sets the time, and it moves the connection to the front, so the first one with recent progress has none behind it that rests. A request that a parser begins on a closed connection leaves the list alone.

--- a/src/edge/http_connection.c
+++ b/src/edge/http_connection.c
@@ -230,9 +230,11 @@
 }
 
 void
-connection_move_to_front (http_connection_t *connection)
+connection_note_progress (http_connection_t *connection)
 {
-  if (connection->prev == NULL)
+  connection->last_progress_us = connection->server->loop->now_us;
+  /* A closed one is in another list.  */
+  if (connection->closed || connection->prev == NULL)
     return;
   unlink_connection (connection);
   link_at_front (connection);
@@ -342,7 +344,7 @@
     return;
   record_close_reason (connection, HTTP_CLOSE_COMPLETED);
   connection->lingering = true;
-  connection->last_progress_us = connection->server->loop->now_us;
+  connection_note_progress (connection);
   shutdown (connection->reader.fd, SHUT_WR);
   free_exchanges (connection);
   ev_io_start (connection->server->loop->ev, &connection->reader);
@@ -383,8 +385,7 @@
         }
       bytes_consume (&connection->output, (size_t)sent);
       connection->sent_bytes += (uint64_t)sent;
-      connection->last_progress_us = connection->server->loop->now_us;
-      connection_move_to_front (connection);
+      connection_note_progress (connection);
       connection->stalled_since_us = 0;
       if (connection->incoming == NULL)
         connection->limits = connection->server->limits;
--- a/src/edge/http_reader.c
+++ b/src/edge/http_reader.c
@@ -53,7 +53,7 @@
   connection->request_begun = true;
   connection->incoming = connection_new_exchange (connection);
   connection->limits = connection->server->limits;
-  connection->last_progress_us = connection->server->loop->now_us;
+  connection_note_progress (connection);
   return 0;
 }
 
@@ -375,8 +375,7 @@
   /* The caller may have closed after the request that was just read.  */
   if (connection_close_if_caller_closed (connection))
     return;
-  connection->last_progress_us = server->loop->now_us;
-  connection_move_to_front (connection);
+  connection_note_progress (connection);
   parse (connection, server->read_buffer, (size_t)size);
 }
 
--- a/src/edge/http_server_impl.h
+++ b/src/edge/http_server_impl.h
@@ -75,7 +75,7 @@
   http_handler_t handler;
   acceptor_t acceptor;
   ev_timer sweep_timer;
-  /* The one that last received or sent data first.  */
+  /* Sorted by last_progress_us, the latest first.  */
   http_connection_t *connections;
   http_connection_t *last_connection;
   http_connection_limits_t connection_limits;
@@ -99,9 +99,9 @@
 http_connection_t *connection_open (http_server_t *server, int fd,
                                     uint32_t caller_ip);
 
-/* Moves the connection, which has received or sent data, to the front of the
-   server's list.  */
-void connection_move_to_front (http_connection_t *connection);
+/* Sets last_progress_us to the present, and moves the connection to the front
+   of the server's list, which is sorted by it.  */
+void connection_note_progress (http_connection_t *connection);
 
 /* Closes the connection for REASON, or for the reason that was recorded when
    its close was decided.  The connection stays allocated until
--- a/src/edge/http_sweep.c
+++ b/src/edge/http_sweep.c
@@ -54,7 +54,7 @@
   if (connection->sent_bytes <= connection->acked_bytes + unacked_bytes)
     return;
   connection->acked_bytes = connection->sent_bytes - unacked_bytes;
-  connection->last_progress_us = connection->server->loop->now_us;
+  connection_note_progress (connection);
   connection->stalled_since_us = 0;
 }
 
--- a/tests/mesh_descriptors_test.cc
+++ b/tests/mesh_descriptors_test.cc
@@ -386,6 +386,47 @@
         << error;
 }
 
+/* Whether a caller that reads slowly is the oldest.  */
+class RoomBesideASlowReader : public ConnectionLimit,
+                              public testing::WithParamInterface<bool>
+{
+};
+TEST_P (RoomBesideASlowReader, BurstFindsRoomAmongRestingCallers)
+{
+  std::string large (1 << 20, 'x');
+  server->answer = [&] (http_exchange_t *exchange) {
+    if (strcmp (bytes_data (&exchange->target), "/large") == 0)
+      http_respond (exchange, 200, nullptr, 0, large.data (), large.size ());
+    else
+      http_respond (exchange, 200, nullptr, 0, "ok", 2);
+  };
+  if (GetParam ())
+    {
+      call ("GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
+      ASSERT_TRUE (wait ([&] { return server->targets.size () == 1; }));
+      rest (20 * US_PER_MS);
+    }
+  for (int i = 0; i < 20; i++)
+    {
+      Caller &caller = call (READY);
+      ASSERT_TRUE (wait ([&] { return caller.has ("ok"); }));
+    }
+  rest (150 * US_PER_MS);
+  limit (stats ().connections, 4);
+  size_t first = callers.size ();
+  for (int i = 0; i < 12; i++)
+    call (READY);
+  int served = 0;
+  for (size_t i = first; i < callers.size (); i++)
+    {
+      EXPECT_TRUE (wait ([&] { return callers[i]->has ("HTTP/1.1 "); }));
+      served += callers[i]->has ("200");
+    }
+  EXPECT_EQ (12, served);
+  EXPECT_EQ (0u, stats ().refused_for_room);
+}
+INSTANTIATE_TEST_SUITE_P (SlowReader, RoomBesideASlowReader, testing::Bool ());
+
 /* --- the budget -------------------------------------------------------- */
 
 TEST (DescriptorBudget, PartsAddUpToTheTotalForAnyFleet)
