Say which parts of the descriptor budget are enforced; plainer names

The header of the budget promised that all parts are kept to. A document that newer ones replace before it is parsed is logged as config-superseded.

--- a/src/edge/policy_parser.c
+++ b/src/edge/policy_parser.c
@@ -233,7 +233,7 @@
   job_t *dropped = add_waiting (parser, job);
   if (dropped == NULL)
     return true;
-  event_log_write (parser->log, EVENT_STATE_CHANGE, "config-passed-over",
+  event_log_write (parser->log, EVENT_STATE_CHANGE, "config-superseded",
                    "source=%s bytes=%zu", dropped->document.source,
                    dropped->document.size);
   parser->open_count--;
--- a/src/mesh/descriptor_budget.h
+++ b/src/mesh/descriptor_budget.h
@@ -1,8 +1,9 @@
 #ifndef REDWINGFORD_DESCRIPTOR_BUDGET_H
 #define REDWINGFORD_DESCRIPTOR_BUDGET_H
 
-/* Splits the descriptors of a sidecar among their uses.  Pure arithmetic; who
-   opens sockets keeps to the part that it is given.
+/* Splits the descriptors of a sidecar among their uses.  Pure arithmetic.
+   The listeners of HTTP keep to their parts; links and the connections to the
+   backend server and the store are only counted against theirs.
 
    Of the total T, files and the process's own descriptors get at most T/4.
    Of the rest S, links get at most S/2, the backend server S/8, the store
