No response follows one that was aborted

Seen by callers: after a response with a Content-Length that was broken off, bytes of the response to a later pipelined request followed on the connection, and a caller would take them for the rest of the body.

Cause: the close of a connection frees its exchanges one by one and tells the handler of each. That cancels a run, and the free slot can make the handler respond to a later request of the same connection at once. By then that one was the first in the list, so its response went to the output, was sent behind the broken one, and counted as answered. If the caller had closed, the request counted as unsent instead of unanswered.

Why it works: all exchanges leave the ledger, with the reason of the close, and the list is detached before the handler is told of the first. From then on the connection is marked, and a response to any of them only sets its state, so that the handler is not told that its caller is gone as well. They are freed only by that one walk. If the handler closes the connection meanwhile, nothing is sent on its descriptor, which may have been reused, and a closed connection is never idle.

The test support's Server gets a hook, after_gone; what it did stays.

--- a/src/edge/http_answer.c
+++ b/src/edge/http_answer.c
@@ -128,8 +128,10 @@
 http_start_response (http_exchange_t *exchange, int status,
                      const char *headers, size_t headers_size, int64_t length)
 {
-  write_head (exchange, status, headers, headers_size, length);
   exchange->response_state = HTTP_RESPONSE_STARTED;
+  if (exchange->connection->exchanges_ended)
+    return;
+  write_head (exchange, status, headers, headers_size, length);
   connection_schedule_flush (exchange->connection);
 }
 
@@ -137,7 +139,8 @@
 http_write_body (http_exchange_t *exchange, const void *data, size_t size)
 {
   bytes_t *out = response_output (exchange);
-  if (size == 0 || exchange->no_response_body)
+  if (size == 0 || exchange->no_response_body
+      || exchange->connection->exchanges_ended)
     return;
   if (exchange->chunked)
     bytes_append_format (out, "%zx\r\n", size);
@@ -165,9 +168,11 @@
 http_end_response (http_exchange_t *exchange)
 {
   http_connection_t *connection = exchange->connection;
+  exchange->response_state = HTTP_RESPONSE_COMPLETE;
+  if (connection->exchanges_ended)
+    return; /* it has left the ledger and is freed with the others */
   if (exchange->chunked)
     bytes_append_text (response_output (exchange), "0\r\n\r\n");
-  exchange->response_state = HTTP_RESPONSE_COMPLETE;
   ledger_advance (&connection->server->ledger, &connection->account,
                   &exchange->ledger);
   notify_response_behind (exchange);
@@ -197,9 +202,12 @@
 http_respond (http_exchange_t *exchange, int status, const char *headers,
               size_t headers_size, const void *body, size_t size)
 {
-  write_head (exchange, status, headers, headers_size, (int64_t)size);
-  if (!exchange->no_response_body)
-    bytes_append (response_output (exchange), body, size);
+  if (!exchange->connection->exchanges_ended)
+    {
+      write_head (exchange, status, headers, headers_size, (int64_t)size);
+      if (!exchange->no_response_body)
+        bytes_append (response_output (exchange), body, size);
+    }
   http_end_response (exchange);
 }
 
--- a/src/edge/http_connection.c
+++ b/src/edge/http_connection.c
@@ -66,33 +66,48 @@
 }
 
 /* Counts the requests without a complete response by the recorded reason of
-   the close.  */
+   the close.  All of them leave the ledger.  */
 static void
-free_exchanges (http_connection_t *connection)
+leave_exchanges (http_connection_t *connection)
 {
   http_close_report_t *report = &connection->close_report;
   ledger_t *ledger = &connection->server->ledger;
   ledger_account_t *account = &connection->account;
-  while (connection->first_exchange != NULL)
+  for (http_exchange_t *exchange = connection->first_exchange;
+       exchange != NULL; exchange = exchange->next)
     {
-      http_exchange_t *exchange = connection->first_exchange;
-      connection->first_exchange = exchange->next;
-      bool complete = exchange->response_state == HTTP_RESPONSE_COMPLETE;
-      report->unanswered_requests += !complete;
+      report->unanswered_requests
+          += exchange->response_state != HTTP_RESPONSE_COMPLETE;
       ledger_leave (ledger, account, &exchange->ledger, report->reason);
-      if (exchange->dispatched && !complete)
-        notify_caller_gone (exchange);
-      connection_free_exchange (exchange);
     }
+  if (connection->incoming != NULL)
+    ledger_leave (ledger, account, &connection->incoming->ledger,
+                  report->reason);
+}
+
+/* The handler may respond to any of the exchanges, or close the connection,
+   when it is told that another one's caller is gone.  */
+static void
+free_exchanges (http_connection_t *connection)
+{
+  http_exchange_t *exchange = connection->first_exchange;
+  leave_exchanges (connection);
+  connection->exchanges_ended = true;
+  connection->first_exchange = NULL;
   connection->exchange_tail = &connection->first_exchange;
   connection->waiting_count = 0;
   if (connection->incoming != NULL)
+    connection_free_exchange (connection->incoming);
+  connection->incoming = NULL;
+  while (exchange != NULL)
     {
-      ledger_leave (ledger, account, &connection->incoming->ledger,
-                    report->reason);
-      connection_free_exchange (connection->incoming);
+      if (exchange->dispatched
+          && exchange->response_state != HTTP_RESPONSE_COMPLETE)
+        notify_caller_gone (exchange);
+      http_exchange_t *next = exchange->next;
+      connection_free_exchange (exchange);
+      exchange = next;
     }
-  connection->incoming = NULL;
 }
 
 /* --- connections ------------------------------------------------------- */
@@ -328,6 +343,8 @@
   connection->reading_paused = false;
   ev_io_start (connection->server->loop->ev, &connection->reader);
   free_exchanges (connection);
+  if (connection->closed)
+    return;
   connection_send_output (connection);
   connection_schedule_flush (connection);
 }
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -40,7 +40,10 @@
      or http_start_response, at once or later.  */
   void (*request) (void *ctx, http_exchange_t *exchange);
   /* The caller closed the connection, or the connection was lost or closed,
-     before the response was complete.  The exchange is freed on return.  */
+     before the response was complete.  The exchange is freed on return.  The
+     handler may respond to other ones here.  What it writes to those of the
+     same connection is not sent; of them, one with a complete response gets no
+     caller_gone.  */
   void (*caller_gone) (void *ctx, http_exchange_t *exchange);
   /* All output of a response in progress has been sent, so that more may be
      written.  May be NULL.  */
--- a/src/edge/http_server_impl.h
+++ b/src/edge/http_server_impl.h
@@ -61,6 +61,8 @@
   bool last_request_read; /* no further request is read */
   bool close_after_flush; /* close when all output is sent */
   bool close_decided;     /* and its reason recorded */
+  /* Its exchanges no longer write to it, even if the handler responds.  */
+  bool exchanges_ended;
   bool lingering; /* write side shut down, reads until the caller closes */
   bool late_malformed; /* the discarded bytes are not valid requests */
   bool closed;
--- a/src/edge/http_sweep.c
+++ b/src/edge/http_sweep.c
@@ -61,8 +61,9 @@
 bool
 connection_is_idle (const http_connection_t *connection)
 {
-  return !connection->lingering && !connection->reading_paused
-         && connection->first_exchange == NULL && connection->incoming == NULL
+  return !connection->closed && !connection->lingering
+         && !connection->reading_paused && connection->first_exchange == NULL
+         && connection->incoming == NULL
          && bytes_size (&connection->output) == 0;
 }
 
--- a/tests/mesh_owed_test.cc
+++ b/tests/mesh_owed_test.cc
@@ -5,6 +5,11 @@
 
 #include "support_edge.h"
 
+extern "C"
+{
+#include "edge/http_server_impl.h"
+}
+
 #include <thread>
 
 namespace
@@ -253,6 +258,105 @@
                             return std::string (row.param.name);
                           });
 
+/* --- responses made while a connection closes ---------------------------- */
+
+/* The end of one request lets the handler respond to the next one at once, or
+   drain the server.  */
+struct NextRow
+{
+  const char *name;
+  void (*respond) (http_exchange_t *);
+  bool aborted; /* the first response is, else the caller closes */
+  int gone;     /* calls of caller_gone */
+};
+
+class Next : public Owed, public testing::WithParamInterface<NextRow>
+{
+};
+
+TEST_P (Next, ResponseIsNotSentOnAConnectionThatCloses)
+{
+  const NextRow &row = GetParam ();
+  start (patient_limits ());
+  send_until_read (HELD + HELD + HELD + HELD, 4);
+  server->after_gone = [&] (http_exchange_t *gone) {
+    if (gone == held[1])
+      row.respond (held[2]);
+    http_server_check_ledger (server->server);
+  };
+  http_start_response (held[0], 200, nullptr, 0, 1000);
+  http_write_body (held[0], "part", 4);
+  ASSERT_TRUE (wait ([&] { return caller->has ("part"); }));
+  std::string got = caller->got;
+  http_close_reason_t reason
+      = row.aborted ? HTTP_CLOSE_ABORTED : HTTP_CLOSE_CALLER;
+  if (row.aborted)
+    {
+      http_abort_response (held[0]);
+      ASSERT_TRUE (wait ([&] { return caller->is_over (); }));
+    }
+  caller->shut ();
+  ASSERT_TRUE (wait ([&] { return stats ().connections == 0; }));
+  EXPECT_EQ (got, caller->got);
+  EXPECT_FALSE (caller->reset);
+  EXPECT_EQ (row.gone, server->gone);
+  EXPECT_EQ (4u, stats ().unanswered_counts[reason]);
+  EXPECT_EQ (0u, stats ().unsent_counts[reason]);
+  EXPECT_EQ (0u, stats ().open_exchanges);
+  EXPECT_EQ (0u, stats ().unsent);
+  http_server_check_ledger (server->server);
+}
+
+void
+respond_whole (http_exchange_t *exchange)
+{
+  http_respond (exchange, 503, nullptr, 0, "later", 5);
+}
+void
+respond_in_pieces (http_exchange_t *exchange)
+{
+  http_start_response (exchange, 503, nullptr, 0, -1);
+  http_write_body (exchange, "later", 5);
+  http_end_response (exchange);
+}
+void
+respond_in_part (http_exchange_t *exchange)
+{
+  http_start_response (exchange, 503, nullptr, 0, -1);
+  http_write_body (exchange, "later", 5);
+}
+void
+abort_begun (http_exchange_t *exchange)
+{
+  respond_in_part (exchange);
+  http_abort_response (exchange);
+}
+
+/* Closes the connection, or finds it closed.  */
+void
+drain (http_exchange_t *exchange)
+{
+  http_server_drain (exchange->connection->server);
+}
+
+const NextRow next_rows[] = {
+  { "WholeAfterAnAbortedOne", respond_whole, true, 2 },
+  { "InPiecesAfterAnAbortedOne", respond_in_pieces, true, 2 },
+  { "InPartAfterAnAbortedOne", respond_in_part, true, 3 },
+  { "AbortedAfterAnAbortedOne", abort_begun, true, 2 },
+  { "DrainAfterAnAbortedOne", drain, true, 3 },
+  { "WholeAfterTheCallerClosed", respond_whole, false, 3 },
+  { "InPiecesAfterTheCallerClosed", respond_in_pieces, false, 3 },
+  { "InPartAfterTheCallerClosed", respond_in_part, false, 4 },
+  { "AbortedAfterTheCallerClosed", abort_begun, false, 3 },
+  { "DrainAfterTheCallerClosed", drain, false, 4 },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, Next, testing::ValuesIn (next_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+
 /* --- callers that read slowly -------------------------------------------- */
 
 struct SlowRow
--- a/tests/support_edge.h
+++ b/tests/support_edge.h
@@ -204,6 +204,7 @@
   std::vector<std::string> fields; /* of each request */
   int gone = 0;
   std::function<void (http_exchange_t *)> answer;
+  std::function<void (http_exchange_t *)> after_gone;
 
   Server (loop_t *loop, const http_limits_t &limits)
   {
@@ -244,8 +245,10 @@
       if (*at == exchange)
         {
           self->open.erase (at);
-          return;
+          break;
         }
+    if (self->after_gone)
+      self->after_gone (exchange);
   }
 };
 
