Verdicts of mesh_resume_test do not depend on the machine's speed

Seen: with the process stalled for 350 ms after the loss of the link, the rows QueuedBackRead, RunningBackRead and EndedBackRead failed (502 for 200), as a review reports; not run again here.

Cause: QUERY_IDEMPOTENT_US (0.25 s) and DETACHED_RUN_US (0.3 s) passed in real time while the test was stalled.

The fixture's loop now takes a clock that stands still unless the test moves it; rows Late and Never, and the test of a caller that goes, move it forward in each turn.

EndedLongBackRead accepted 200 or 502, as the link could be back before the long reply had ended.

--- a/tests/mesh_resume_test.cc
+++ b/tests/mesh_resume_test.cc
@@ -2,6 +2,11 @@
    that are thrown away, work that goes on for callers that have gone, and a
    query that makes a request run again.  */
 
+extern "C"
+{
+#include "support_clock.h"
+}
+
 #include "support_peer.h"
 
 namespace
@@ -28,9 +33,22 @@
 const char *const link_names[] = { "Back", "Late", "Never", "Restarted" };
 
 const size_t LONG_BYTES = 70000;
+/* By which the clock is moved in each turn of the loop.  */
+const int64_t TURN_US = 5 * US_PER_MS;
+
+/* The loop's clock stands still unless a test moves it, so that a slow machine
+   lets no time limit pass.  libev's timers go on.  */
+template <class Fixture> class HeldClock : public Fixture
+{
+protected:
+  fake_clock_t held = { 1000 * US_PER_S, 0 };
+  clock_source_t source = fake_clock_source (&held);
+
+  HeldClock () { this->clock = &source; }
+};
 
 /* Loses the link from A to B, which stay.  */
-class LostLink : public Two
+class LostLink : public HeldClock<Two>
 {
 protected:
   std::unique_ptr<Caller> blocker;
@@ -99,7 +117,7 @@
                  public testing::WithParamInterface<lost_row_t>
 {
 protected:
-  /* Status that the caller must get; 0 if more than one is right.  */
+  /* Status that the caller must get.  */
   static int
   expected_status (int stage, int link, bool booking)
   {
@@ -112,7 +130,8 @@
     if (booking)
       return stage == STAGE_ENDED_LONG ? 502 : 200;
     if (link == LINK_BACK)
-      return stage == STAGE_ENDED_LONG ? 0 : 200;
+      /* The long reply is not kept, so the outcome is unknown.  */
+      return stage == STAGE_ENDED_LONG ? 502 : 200;
     return 502;
   }
 };
@@ -126,16 +145,20 @@
                      request (booking ? "POST" : "GET",
                               booking ? "/book/1" : "/read/1", "id-1")));
   vm_id_t b_vm = peer_set_own_vm (b->peers);
-  if (link != LINK_BACK)
+  bool ends_first = stage == STAGE_ENDED || stage == STAGE_ENDED_LONG;
+  if (link != LINK_BACK || ends_first)
     peer_set_remove (a->peers, b_vm); /* so that no link to it is opened */
   ASSERT_NO_FATAL_FAILURE (lose_link ());
-  if (stage == STAGE_ENDED || stage == STAGE_ENDED_LONG)
+  if (ends_first)
     {
       answer_open (stage == STAGE_ENDED ? "done"
                                         : std::string (LONG_BYTES, 'x'));
       ASSERT_TRUE (
           wait ([&] { return runner_open_run_count (b->runner) == 0; }));
     }
+  /* Takes the place of a machine that stalls.  */
+  if (getenv ("STALL_MS") != nullptr)
+    usleep (US_PER_MS * atoi (getenv ("STALL_MS")));
   if (link == LINK_RESTARTED)
     {
       b.reset ();
@@ -144,6 +167,8 @@
   int64_t lost_us = loop.now_us;
   ASSERT_TRUE (wait ([&] {
     tick (false);
+    if (link == LINK_LATE)
+      held.now_us += TURN_US;
     return link != LINK_LATE
            || (loop.now_us - lost_us > DETACHED_RUN_US
                && (booking || caller.has ("\r\n\r\n")));
@@ -156,16 +181,16 @@
   bool relinked = false;
   EXPECT_TRUE (wait ([&] {
     tick (link != LINK_NEVER);
+    if (link == LINK_NEVER)
+      held.now_us += TURN_US;
     relinked = relinked || peer_set_stats (a->peers).peers_up == 1;
     if (relinked && runner_stats (b->runner).runs_started > 0)
       answer_open ("done");
     return caller.has ("\r\n\r\n") || caller.ended;
   }));
   int status = atoi (caller.got.c_str () + strlen ("HTTP/1.1 "));
-  int expected = expected_status (stage, link, booking);
-  EXPECT_TRUE (expected == 0 ? status == 200 || status == 502
-                             : status == expected)
-      << expected << ": " << caller.got.substr (0, 200);
+  EXPECT_EQ (expected_status (stage, link, booking), status)
+      << caller.got.substr (0, 200);
   EXPECT_LE (run_count ("id-1"), booking || link == LINK_BACK ? 1u : 2u);
   EXPECT_TRUE (wait ([&] {
     tick (link != LINK_NEVER);
@@ -203,6 +228,7 @@
   caller.shut ();
   EXPECT_TRUE (wait ([&] {
     tick (true);
+    held.now_us += TURN_US;
     return backend->gone == 1;
   }));
   EXPECT_EQ (1u, run_count ("id-1"));
--- a/tests/support_edge.h
+++ b/tests/support_edge.h
@@ -68,6 +68,7 @@
 class Loop : public testing::Test
 {
 protected:
+  const clock_source_t *clock = clock_system (); /* of the loop */
   loop_t loop = {};
   rng_t rng = rng_seeded (1);
   event_log_t log = {};
@@ -77,7 +78,7 @@
   SetUp () override
   {
     error_info_t error = {};
-    ASSERT_TRUE (loop_open (&loop, clock_system (), &error));
+    ASSERT_TRUE (loop_open (&loop, clock, &error));
     ASSERT_EQ (0, pipe (log_pipe));
     event_log_open (&log, &loop, log_pipe[1], "n1");
   }
