A read whose next link is lost gets as long to resume as at first

Seen: a read that was resumed, and whose next link was lost 0.5 s later, got 502 (outcome-unknown), although its run went on and the link was back at once: LostLink.ReadIsResumedAgainWhenItsNextLinkIsLost, with a link that stands for 0.5 s between the losses, failed at the second loss (2 runs detached, 1 resumed).

Cause: the end of the queries was set once, 0.25 s after the first loss.

Now each loss of the link of a query sets it anew. Only a link that is lost at this side has that cause, so the number of queries is limited by the links, and by the deadline.

--- a/src/edge/entry_answer.c
+++ b/src/edge/entry_answer.c
@@ -248,7 +248,10 @@
                              0, &failure->load);
   if (was_query && is_query_lost (failure))
     {
-      exchange_schedule_query (exchange);
+      if (failure->cause == CAUSE_PEER_LOST)
+        exchange_repeat_query (exchange);
+      else
+        exchange_schedule_query (exchange);
       return;
     }
   if (was_query)
--- a/src/edge/entry_impl.h
+++ b/src/edge/entry_impl.h
@@ -205,6 +205,10 @@
    responds with an error, or retries an idempotent request.  */
 void exchange_schedule_query (exchange_t *exchange);
 
+/* Likewise after the link of a query was lost, which another link gets as long
+   to replace as the first.  */
+void exchange_repeat_query (exchange_t *exchange);
+
 /* Returns whether the request may be retried after an attempt that may have
    run.  If so, takes one of the request's retries and tokens of the retry
    pools of its call tree, and counts the retry.  */
--- a/src/edge/entry_place.c
+++ b/src/edge/entry_place.c
@@ -340,8 +340,8 @@
     exchange_schedule_query (exchange);
 }
 
-void
-exchange_begin_query (exchange_t *exchange)
+static void
+set_query_end (exchange_t *exchange)
 {
   int64_t until_us = exchange->entry->deps.loop->now_us + QUERY_IDEMPOTENT_US;
   int64_t retry_us
@@ -350,6 +350,19 @@
   exchange->query_until_us = exchange->retries_left > 0 && retry_us < until_us
                                  ? retry_us
                                  : until_us;
+}
+
+void
+exchange_repeat_query (exchange_t *exchange)
+{
+  set_query_end (exchange);
+  exchange_schedule_query (exchange);
+}
+
+void
+exchange_begin_query (exchange_t *exchange)
+{
+  set_query_end (exchange);
   exchange_lost_call_stats (exchange)->queried++;
   exchange_query_outcome (exchange);
 }
