A peer that closes each link is dialled after a growing delay

ClosingPeer.IsDialledAfterDelaysThatGrow counted 50 links, where it stops, at one moment of the test's clock; 1 is allowed.

Cause: a first report reset the delay, and the loss of the last link queued a dial at once.

Now a lost peer is dialled at once, and its delay reset, only if it was up for PEER_LINK_STOOD_US (0.5 s, two reports of each side). Else the delay that the last attempt set goes on: dials at 0, 250, 750, 1750, 3750, 7750, 11750 ms. A peer that closes just after that time is dialled twice a second.

--- a/src/edge/peer.c
+++ b/src/edge/peer.c
@@ -102,12 +102,19 @@
                 && !is_opened_by_lower_id (best))))
       best = link;
   bool was_up = peer->active_link != NULL;
+  int64_t now_us = peer->peers->loop->now_us;
   peer->active_link = best;
-  if (best != NULL)
-    peer->reconnect_delay_us = RECONNECT_DELAY_MIN_US;
-  else if (was_up)
+  if (best != NULL && !was_up)
+    peer->up_since_us = now_us;
+  else if (best == NULL && was_up)
     {
-      peer->next_connect_us = peer->peers->loop->now_us;
+      /* A peer that closes each link at once must not be dialled in a
+         loop.  */
+      if (now_us - peer->up_since_us >= PEER_LINK_STOOD_US)
+        {
+          peer->next_connect_us = now_us;
+          peer->reconnect_delay_us = RECONNECT_DELAY_MIN_US;
+        }
       loop_defer (peer->peers->loop, &peer->peers->reconnect_task);
       peer->peers->handler.on_disconnect (peer->peers->handler.ctx, peer);
     }
--- a/src/edge/peer.h
+++ b/src/edge/peer.h
@@ -17,6 +17,9 @@
 {
   PEER_REPORT_INTERVAL_US = 250 * US_PER_MS,
   PEER_SILENCE_TIMEOUT_US = 1000 * US_PER_MS, /* four report intervals */
+  /* A peer whose links were lost is dialled at once if it was up for this
+     long, in which each side reports twice, else after a delay that grows.  */
+  PEER_LINK_STOOD_US = 500 * US_PER_MS,
   /* A link is silent, but stays open, after this long.  Reports to other
      availability zones may be sent every second time.  */
   PEER_SILENT_US = 400 * US_PER_MS,
--- a/src/edge/peer_impl.h
+++ b/src/edge/peer_impl.h
@@ -85,6 +85,7 @@
   peer_link_t *active_link; /* carries new calls; NULL while down */
   bool is_member;
   bool cross_zone;            /* in another availability zone */
+  int64_t up_since_us;        /* when active_link ceased to be NULL */
   int64_t next_connect_us;    /* earliest time of the next attempt */
   int64_t reconnect_delay_us; /* after the next attempt */
 };
--- a/tests/mesh_resume_test.cc
+++ b/tests/mesh_resume_test.cc
@@ -45,6 +45,12 @@
   clock_source_t source = fake_clock_source (&held);
 
   HeldClock () { this->clock = &source; }
+  void
+  pass (int64_t us)
+  {
+    held.now_us += us;
+    this->wait ([&] { return this->loop.now_us == held.now_us; });
+  }
 };
 
 /* Loses the link from A to B, which stay.  */
@@ -53,6 +59,23 @@
 protected:
   std::unique_ptr<Caller> blocker;
 
+  void
+  SetUp () override
+  {
+    HeldClock<Two>::SetUp ();
+    let_link_stand ();
+  }
+  /* So that it is opened again at once when it is lost.  */
+  void
+  let_link_stand ()
+  {
+    pass (PEER_LINK_STOOD_US);
+    uint64_t frames = peer_set_stats (a->peers).frames_in;
+    peer_set_send_reports (a->peers, true, true);
+    peer_set_send_reports (b->peers, true, true);
+    ASSERT_TRUE (
+        wait ([&] { return peer_set_stats (a->peers).frames_in > frames; }));
+  }
   void
   lose_link ()
   {
@@ -262,12 +285,94 @@
         tick (true);
         return runner_stats (b->runner).runs_resumed == i;
       }));
+      ASSERT_NO_FATAL_FAILURE (let_link_stand ());
     }
   answer_open ("done");
   EXPECT_TRUE (wait ([&] { return caller.has ("done"); }));
   EXPECT_EQ (1u, run_count ("id-1"));
 }
 
+/* --- peers that close their links -----------------------------------------
+ */
+
+class ClosingPeer : public HeldClock<FakePeer>
+{
+protected:
+  /* Takes each link that A opens, reports and closes it after STAND_US.
+     Returns the links taken until A has none and opens none in many turns of
+     the loop.  */
+  int
+  take_links (int64_t stand_us)
+  {
+    const int QUIET_TURNS = 20;
+    const int LINKS_MAX = 50;
+    int links = 0;
+    int quiet = 0;
+    wait ([&] {
+      quiet = peer_set_stats (a->peers).links_open == 0 ? quiet + 1 : 0;
+      int fd = ::accept (listener, nullptr, nullptr);
+      if (fd >= 0)
+        {
+          links++;
+          LinkEnd end (fd);
+          end.send_report (peer_vm);
+          EXPECT_TRUE (
+              wait ([&] { return peer_set_stats (a->peers).peers_up == 1; }));
+          pass (stand_us);
+        }
+      return quiet == QUIET_TURNS || links == LINKS_MAX;
+    });
+    return links;
+  }
+  void
+  open_listener ()
+  {
+    listen (true);
+    fcntl (listener, F_SETFL, O_NONBLOCK);
+  }
+};
+
+TEST_F (ClosingPeer, IsDialledAfterDelaysThatGrow)
+{
+  const int64_t STEP_US = 50 * US_PER_MS;
+  std::vector<int64_t> dialled_ms;
+  open_listener ();
+  peer_set_add (a->peers, peer_vm);
+  int64_t begun_us = held.now_us;
+  for (; held.now_us - begun_us <= 12 * US_PER_S; pass (STEP_US))
+    {
+      peer_set_tick (a->peers, true, true);
+      int links = 0;
+      if (peer_set_stats (a->peers).links_open > 0)
+        links = take_links (0);
+      ASSERT_LE (links, 1) << "at " << (held.now_us - begun_us) / US_PER_MS;
+      if (links > 0)
+        dialled_ms.push_back ((held.now_us - begun_us) / US_PER_MS);
+    }
+  EXPECT_EQ ((std::vector<int64_t>{ 0, 250, 750, 1750, 3750, 7750, 11750 }),
+             dialled_ms);
+}
+
+TEST_F (ClosingPeer, IsDialledAtOnceOnlyIfItsLinkStood)
+{
+  open_listener ();
+  peer_set_add (a->peers, peer_vm);
+  /* The second attempt puts the third off by more than the link stands.  */
+  EXPECT_EQ (1, take_links (0));
+  pass (250 * US_PER_MS);
+  peer_set_tick (a->peers, true, true);
+  EXPECT_EQ (1, take_links (PEER_LINK_STOOD_US - US_PER_MS));
+  peer_set_remove (a->peers, peer_vm);
+  peer_set_add (a->peers, peer_vm);
+  std::unique_ptr<LinkEnd> link = accept ();
+  link->send_report (peer_vm);
+  ASSERT_TRUE (wait ([&] { return peer_set_stats (a->peers).peers_up == 1; }));
+  pass (PEER_LINK_STOOD_US);
+  link.reset ();
+  /* Without a tick.  */
+  EXPECT_EQ (1, take_links (0));
+}
+
 /* --- queries at the runner ------------------------------------------------
  */
 
