Close resting connections only when a failed accept tells of a lack

Callers saw: any error of accept closed up to eight resting connections of the listener, although that frees nothing that the error is about.

Cause: http_server.c made room after every failure that pauses the listener.

Evidence: Descriptors.OnlyALackOfThemClosesRestingConnections failed before at EINVAL, of a listener that was shut down: it had closed connections to make room.

Why it works: room is made only for EMFILE, ENFILE, ENOBUFS and ENOMEM (loop_is_lack).

--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -127,7 +127,8 @@
   int fd = acceptor_take (&server->acceptor, &caller_ip);
   if (fd < 0)
     {
-      if (acceptor_is_paused (&server->acceptor))
+      if (acceptor_is_paused (&server->acceptor)
+          && loop_is_lack (server->acceptor.stats.last_errno))
         server_make_room (server);
       return false;
     }
--- a/tests/mesh_descriptors_test.cc
+++ b/tests/mesh_descriptors_test.cc
@@ -2,6 +2,7 @@
 
 extern "C"
 {
+#include "edge/http_server_impl.h"
 #include "edge/store.h"
 #include "mesh/descriptor_budget.h"
 }
@@ -114,6 +115,37 @@
   EXPECT_TRUE (wait ([&] { return caller.has ("ok"); }));
 }
 
+TEST_F (Descriptors, OnlyALackOfThemClosesRestingConnections)
+{
+  for (bool lack : { true, false })
+    {
+      for (int i = 0; i < 4; i++)
+        {
+          Caller &caller = call (READY);
+          ASSERT_TRUE (wait ([&] { return caller.has ("ok"); }));
+        }
+      int64_t end_us = loop.now_us + 150 * US_PER_MS;
+      wait ([&] { return loop.now_us > end_us; });
+      uint64_t failures = stats ().accepting.failures;
+      uint64_t closed = stats ().close_counts[HTTP_CLOSE_ROOM];
+      struct sockaddr_in at = loop_sockaddr (loopback (server->port ()));
+      int waiting = socket (AF_INET, SOCK_STREAM, 0);
+      ASSERT_EQ (0, connect (waiting, (struct sockaddr *)&at, sizeof at));
+      std::unique_ptr<FewDescriptors> none;
+      /* Accepting from a listener that is shut down fails with EINVAL.  */
+      if (lack)
+        none = std::make_unique<FewDescriptors> (0);
+      else
+        shutdown (server->server->acceptor.watcher.fd, SHUT_RDWR);
+      EXPECT_TRUE (
+          wait ([&] { return stats ().accepting.failures > failures; }));
+      none.reset ();
+      EXPECT_EQ (lack ? EMFILE : EINVAL, stats ().accepting.last_errno);
+      EXPECT_EQ (lack, stats ().close_counts[HTTP_CLOSE_ROOM] > closed);
+      close (waiting);
+    }
+}
+
 TEST_F (Two, LoopDoesNotSpinWhileAcceptingAPeerFails)
 {
   Caller peer (vm_id_port (peer_set_own_vm (a->peers)));
