--- a/src/edge/http_answer.c
+++ b/src/edge/http_answer.c
@@ -15,15 +15,15 @@
 
 enum
 {
-  ROOM_KEPT_DIVISOR = 8 /* part of a server's connections */
+  SPARE_DIVISOR = 8 /* part of a server's connections */
 };
 
 /* Number of connections below the limit from which responses announce the end
    of their connection.  */
 static uint32_t
-room_kept (const http_server_t *server)
+spare_connections (const http_server_t *server)
 {
-  return server->connection_limits.served / ROOM_KEPT_DIVISOR;
+  return server->connection_limits.served / SPARE_DIVISOR;
 }
 
 /* Whether no request follows this one on its connection, or has arrived.  Only
@@ -34,8 +34,8 @@
 {
   const http_connection_t *connection = exchange->connection;
   const http_server_t *server = connection->server;
-  bool closing
-      = server->draining || server_is_full (server, room_kept (server));
+  bool closing = server->draining
+                 || server_is_at_limit (server, spare_connections (server));
   if (exchange->close_after || !closing)
     return exchange->close_after;
   return connection->first_exchange == exchange && exchange->next == NULL
--- a/src/edge/http_connection.c
+++ b/src/edge/http_connection.c
@@ -153,7 +153,7 @@
   INVARIANT (report->unanswered_requests == 0
                  || (report->reason != HTTP_CLOSE_IDLE
                      && report->reason != HTTP_CLOSE_DRAINED
-                     && report->reason != HTTP_CLOSE_ROOM
+                     && report->reason != HTTP_CLOSE_EVICTED
                      && report->reason != HTTP_CLOSE_COMPLETED),
              "a connection closed as %s left %u requests without a response",
              http_close_reason_name (report->reason),
--- a/src/edge/http_reader.c
+++ b/src/edge/http_reader.c
@@ -234,10 +234,10 @@
   ev_io_stop (connection->server->loop->ev, &connection->reader);
 }
 
-/* Whether the connection is beyond the limit and no room was made since it was
+/* Whether the connection is beyond the limit and none was closed since it was
    accepted.  */
 static bool
-has_no_room (http_connection_t *connection)
+is_beyond_limit (http_connection_t *connection)
 {
   const http_server_t *server = connection->server;
   if (connection->beyond_limit
@@ -253,10 +253,10 @@
   http_server_t *server = connection->server;
   http_exchange_t *exchange = connection->incoming;
 
-  if (has_no_room (connection))
+  if (is_beyond_limit (connection))
     {
       connection->close_report.requests++;
-      server->stats.refused_for_room++;
+      server->stats.refused_beyond_limit++;
       refuse_request (connection, 503, "Retry-After: 1\r\n");
       return;
     }
--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -15,10 +15,10 @@
 };
 
 static const char *const close_reason_names[HTTP_CLOSE_REASON_COUNT] = {
-  [HTTP_CLOSE_CALLER] = "caller",  [HTTP_CLOSE_COMPLETED] = "answered",
-  [HTTP_CLOSE_IDLE] = "idle",      [HTTP_CLOSE_DRAINED] = "drained",
-  [HTTP_CLOSE_ROOM] = "room",      [HTTP_CLOSE_UNREAD] = "unread",
-  [HTTP_CLOSE_ABORTED] = "broken", [HTTP_CLOSE_FREED] = "freed",
+  [HTTP_CLOSE_CALLER] = "caller",   [HTTP_CLOSE_COMPLETED] = "answered",
+  [HTTP_CLOSE_IDLE] = "idle",       [HTTP_CLOSE_DRAINED] = "drained",
+  [HTTP_CLOSE_EVICTED] = "evicted", [HTTP_CLOSE_UNREAD] = "unread",
+  [HTTP_CLOSE_ABORTED] = "broken",  [HTTP_CLOSE_FREED] = "freed",
 };
 
 static const char *const caller_end_names[HTTP_CALLER_END_COUNT] = {
@@ -115,9 +115,9 @@
 {
   const http_connection_limits_t *limits = &server->connection_limits;
   uint32_t caller_ip;
-  if (server_is_full (server, 0))
-    server_make_room (server);
-  bool beyond_limit = server_is_full (server, 0);
+  if (server_is_at_limit (server, 0))
+    server_evict_idle (server);
+  bool beyond_limit = server_is_at_limit (server, 0);
   if (beyond_limit
       && server->stats.connections >= limits->served + limits->refused)
     {
@@ -129,7 +129,7 @@
     {
       if (acceptor_is_paused (&server->acceptor)
           && loop_is_lack (server->acceptor.stats.last_errno))
-        server_make_room (server);
+        server_evict_idle (server);
       return false;
     }
   connection_open (server, fd, caller_ip)->beyond_limit = beyond_limit;
@@ -251,7 +251,7 @@
 }
 
 bool
-server_is_full (const http_server_t *server, uint32_t count)
+server_is_at_limit (const http_server_t *server, uint32_t count)
 {
   uint32_t served = server->connection_limits.served;
   return served > 0 && server->stats.connections + count >= served;
@@ -351,9 +351,9 @@
   stats.oldest_us = ledger_oldest_us (ledger, server->loop->now_us);
   for (int i = 0; i < HTTP_CLOSE_REASON_COUNT; i++)
     {
-      stats.partly_read_counts[i] = ledger->left[LEDGER_READING][i];
-      stats.unanswered_counts[i] = ledger->left[LEDGER_OPEN][i];
-      stats.unsent_counts[i] = ledger->left[LEDGER_UNSENT][i];
+      stats.partly_read_counts[i] = ledger->abandoned[LEDGER_READING][i];
+      stats.unanswered_counts[i] = ledger->abandoned[LEDGER_OPEN][i];
+      stats.unsent_counts[i] = ledger->abandoned[LEDGER_UNSENT][i];
     }
   return stats;
 }
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -145,9 +145,9 @@
 
 /* Sets new limits; connections that are open stay open.  Close to the limit
    responses announce the end of their connection, unless more requests wait on
-   it.  At the limit, a connection that has rested for long makes room for a
-   new one.  If none has, the request of the new one is refused with 503, and
-   if too many are being refused, accepting pauses.  */
+   it.  At the limit, the connection that has been idle longest is closed for a
+   new one.  If none is idle, the request of the new one is refused with 503,
+   and if too many are being refused, accepting pauses.  */
 void
 http_server_set_connection_limits (http_server_t *server,
                                    const http_connection_limits_t *limits);
@@ -204,7 +204,7 @@
   HTTP_CLOSE_COMPLETED, /* after the last response */
   HTTP_CLOSE_IDLE,      /* no request for the idle limit */
   HTTP_CLOSE_DRAINED,   /* idle while the server drains */
-  HTTP_CLOSE_ROOM,      /* idle while the server has no room */
+  HTTP_CLOSE_EVICTED,   /* idle, to make way for a new one */
   HTTP_CLOSE_UNREAD,    /* its caller has stopped reading a response */
   HTTP_CLOSE_ABORTED,   /* a response was aborted */
   HTTP_CLOSE_FREED,     /* the server was freed */
@@ -258,8 +258,8 @@
   uint32_t unsent;         /* complete responses, not taken by the socket */
   int64_t oldest_us; /* age of the oldest request without a response, or 0 */
   uint64_t body_bytes;
-  uint64_t malformed_requests; /* requests that the server itself refused */
-  uint64_t refused_for_room;   /* those of them beyond the connection limit */
+  uint64_t malformed_requests;   /* requests that the server itself refused */
+  uint64_t refused_beyond_limit; /* of them, beyond the connection limit */
   /* Connections found closed before the data read from them was parsed, or
      while reading from them was paused.  */
   uint64_t reads_abandoned;
--- a/src/edge/http_server_impl.h
+++ b/src/edge/http_server_impl.h
@@ -56,7 +56,7 @@
   int parse_error_status; /* HTTP status to refuse the request with, or 0 */
   http_close_report_t close_report;
   bool request_begun; /* the first byte of any request has been read */
-  bool beyond_limit;  /* accepted only to be refused, unless room is made */
+  bool beyond_limit;  /* accepted only to be refused, unless others close */
   bool reading_paused;
   bool last_request_read; /* no further request is read */
   bool close_after_flush; /* close when all output is sent */
@@ -81,7 +81,8 @@
   http_connection_t *connections;
   http_connection_t *last_connection;
   http_connection_limits_t connection_limits;
-  uint64_t full_iteration; /* of the loop, in which no connection rested */
+  /* Iteration of the loop in which no connection was idle.  */
+  uint64_t eviction_failed_iteration;
   bool stopping_to_listen;
   loop_task_t free_closed_task;
   http_connection_t *closed_connections;
@@ -157,7 +158,7 @@
 void connection_refuse_request (http_connection_t *connection, int status);
 
 /* Whether the server has its limit of connections, less COUNT, or more.  */
-bool server_is_full (const http_server_t *server, uint32_t count);
+bool server_is_at_limit (const http_server_t *server, uint32_t count);
 
 /* Closes the connection and returns true if its caller has closed it.  */
 bool connection_close_if_caller_closed (http_connection_t *connection);
@@ -180,8 +181,8 @@
 void connection_close_idle (http_connection_t *connection,
                             http_close_reason_t reason);
 
-/* Closes some of the connections that have rested longest.  */
-void server_make_room (http_server_t *server);
+/* Closes some of the connections that have been idle longest.  */
+void server_evict_idle (http_server_t *server);
 
 /* Closes a connection, or refuses its request, that has made no progress for
    too long.  */
--- a/src/edge/http_sweep.c
+++ b/src/edge/http_sweep.c
@@ -8,10 +8,10 @@
      A caller may send the first one some time after it connects.  */
   DRAIN_IDLE_TIMEOUT_US = 100 * US_PER_MS,
   DRAIN_FIRST_REQUEST_TIMEOUT_US = 500 * US_PER_MS,
-  /* The shortest rest of a connection that is closed to make room.  */
-  ROOM_REST_MIN_US = 100 * US_PER_MS,
-  ROOM_FIRST_REQUEST_TIMEOUT_US = 500 * US_PER_MS,
-  CLOSED_FOR_ROOM_MAX = 8 /* at once */
+  /* Idle time from which a connection is closed for a new one.  */
+  EVICTION_IDLE_MIN_US = 100 * US_PER_MS,
+  LIMIT_FIRST_REQUEST_TIMEOUT_US = 500 * US_PER_MS,
+  EVICTED_MAX = 8 /* at once */
 };
 
 /* While reading is paused, only this check detects that the caller has
@@ -93,32 +93,32 @@
 }
 
 static bool
-may_be_closed_for_room (const http_connection_t *connection)
+may_be_evicted (const http_connection_t *connection)
 {
   return connection_is_idle (connection)
          && no_progress_us (connection)
-                > (connection->request_begun ? ROOM_REST_MIN_US
-                                             : ROOM_FIRST_REQUEST_TIMEOUT_US);
+                > (connection->request_begun ? EVICTION_IDLE_MIN_US
+                                             : LIMIT_FIRST_REQUEST_TIMEOUT_US);
 }
 
 void
-server_make_room (http_server_t *server)
+server_evict_idle (http_server_t *server)
 {
   uint32_t before = server->stats.connections;
   http_connection_t *connection = server->last_connection;
-  if (server->full_iteration == server->loop->iterations)
+  if (server->eviction_failed_iteration == server->loop->iterations)
     return;
   while (connection != NULL && !connection->closed
-         && before - server->stats.connections < CLOSED_FOR_ROOM_MAX
-         && no_progress_us (connection) > ROOM_REST_MIN_US)
+         && before - server->stats.connections < EVICTED_MAX
+         && no_progress_us (connection) > EVICTION_IDLE_MIN_US)
     {
       http_connection_t *previous = connection->prev;
-      if (may_be_closed_for_room (connection))
-        connection_close_idle (connection, HTTP_CLOSE_ROOM);
+      if (may_be_evicted (connection))
+        connection_close_idle (connection, HTTP_CLOSE_EVICTED);
       connection = previous;
     }
   if (before == server->stats.connections)
-    server->full_iteration = server->loop->iterations;
+    server->eviction_failed_iteration = server->loop->iterations;
 }
 
 static bool
@@ -183,7 +183,7 @@
   if (!connection_is_idle (connection))
     return false;
   if (connection->beyond_limit && !connection->request_begun)
-    return no_progress_us (connection) > ROOM_FIRST_REQUEST_TIMEOUT_US;
+    return no_progress_us (connection) > LIMIT_FIRST_REQUEST_TIMEOUT_US;
   if (server->draining)
     return no_progress_us (connection)
            > (connection->request_begun ? DRAIN_IDLE_TIMEOUT_US
--- a/src/edge/ledger.c
+++ b/src/edge/ledger.c
@@ -79,7 +79,7 @@
   if (entry->stage != LEDGER_UNSENT)
     unlink_entry (ledger, entry);
   subtract (ledger, account, entry->stage, 1);
-  ledger->left[entry->stage][reason]++;
+  ledger->abandoned[entry->stage][reason]++;
 }
 
 void
@@ -87,7 +87,7 @@
                      uint32_t count, uint32_t reason)
 {
   subtract (ledger, account, LEDGER_UNSENT, count);
-  ledger->left[LEDGER_UNSENT][reason] += count;
+  ledger->abandoned[LEDGER_UNSENT][reason] += count;
 }
 
 int64_t
@@ -107,7 +107,7 @@
                  ledger->counts[stage], stage, total->counts[stage]);
       known += ledger->counts[stage];
       for (int reason = 0; reason < LEDGER_REASONS_MAX; reason++)
-        known += ledger->left[stage][reason];
+        known += ledger->abandoned[stage][reason];
     }
   INVARIANT (ledger->entered == known, "%llu requests entered, %llu are known",
              (unsigned long long)ledger->entered, (unsigned long long)known);
--- a/src/edge/ledger.h
+++ b/src/edge/ledger.h
@@ -44,7 +44,7 @@
   /* Since the start.  */
   uint64_t entered;
   uint64_t answered;
-  uint64_t left[LEDGER_STAGE_COUNT][LEDGER_REASONS_MAX];
+  uint64_t abandoned[LEDGER_STAGE_COUNT][LEDGER_REASONS_MAX];
 } ledger_t;
 
 /* Enters a request whose first byte was read now.  */
--- a/src/edge/metrics.c
+++ b/src/edge/metrics.c
@@ -130,8 +130,8 @@
   append_metric (out, "caller_request_oldest_ms",
                  (uint64_t)(callers->oldest_us / US_PER_MS));
   append_metric (out, "caller_malformed_total", callers->malformed_requests);
-  append_metric (out, "caller_refused_for_room_total",
-                 callers->refused_for_room);
+  append_metric (out, "caller_refused_beyond_limit_total",
+                 callers->refused_beyond_limit);
   append_metric (out, "caller_reads_abandoned_total",
                  callers->reads_abandoned);
   append_metric (out, "caller_reads_paused_total", callers->reads_paused);
--- a/src/edge/sidecar_descriptors.c
+++ b/src/edge/sidecar_descriptors.c
@@ -55,17 +55,18 @@
 {
   log_lack (sidecar);
   http_server_stats_t callers = http_server_stats (sidecar->caller_server);
-  uint64_t closed = callers.close_counts[HTTP_CLOSE_ROOM];
+  uint64_t closed = callers.close_counts[HTTP_CLOSE_EVICTED];
   uint64_t events
-      = closed + callers.refused_for_room + callers.accepting.pauses;
-  if (events == sidecar->logged_room_events)
+      = closed + callers.refused_beyond_limit + callers.accepting.pauses;
+  if (events == sidecar->logged_limit_events)
     return;
-  sidecar->logged_room_events = events;
+  sidecar->logged_limit_events = events;
   event_log_write (
       &sidecar->log, EVENT_CONNECTION, "callers-limited",
       "connections=%u limit=%u closed=%llu refused=%llu paused-ms=%lld",
       callers.connections, sidecar->descriptors.parts[DESCRIPTORS_CALLERS],
-      (unsigned long long)closed, (unsigned long long)callers.refused_for_room,
+      (unsigned long long)closed,
+      (unsigned long long)callers.refused_beyond_limit,
       (long long)(callers.accepting.paused_us / US_PER_MS));
 }
 
--- a/src/edge/sidecar_impl.h
+++ b/src/edge/sidecar_impl.h
@@ -94,8 +94,8 @@
   uint64_t logged_accept_failures[LISTENER_COUNT];
   uint64_t logged_frames_dropped[TRAFFIC_COUNT];
   descriptor_budget_t descriptors;
-  uint64_t logged_room_events; /* what the last line callers-limited told */
-  uint64_t logged_lacking;     /* what the last line sockets-lacking told */
+  uint64_t logged_limit_events; /* what the last line callers-limited told */
+  uint64_t logged_lacking;      /* what the last line sockets-lacking told */
 };
 
 /* --- sidecar_descriptors.c --------------------------------------------- */
--- a/tests/mesh_closes_test.cc
+++ b/tests/mesh_closes_test.cc
@@ -458,7 +458,7 @@
   input.peers.frames_dropped[TRAFFIC_REPLY] = 5;
   input.accepting[LISTENER_CALLERS].failures = 6;
   input.accepting[LISTENER_PEERS].paused_us = 7;
-  input.callers.refused_for_room = 8;
+  input.callers.refused_beyond_limit = 8;
   input.descriptors.parts[DESCRIPTORS_LINKS] = 9;
   input.descriptors_open[DESCRIPTORS_CALLERS] = 10;
   input.runner.connections.sockets_lacking = 11;
@@ -475,7 +475,7 @@
           "peer_frames_dropped_total{kind=\"answer\"} 5",
           "accepts_failed_total{listener=\"callers\"} 6",
           "accepting_paused_us_total{listener=\"peer\"} 7",
-          "caller_refused_for_room_total 8",
+          "caller_refused_beyond_limit_total 8",
           "descriptors_allowed{use=\"links\"} 9",
           "descriptors_open{use=\"callers\"} 10",
           "sockets_lacking_total{use=\"backend\"} 11",
--- a/tests/mesh_descriptors_test.cc
+++ b/tests/mesh_descriptors_test.cc
@@ -127,7 +127,7 @@
       int64_t end_us = loop.now_us + 150 * US_PER_MS;
       wait ([&] { return loop.now_us > end_us; });
       uint64_t failures = stats ().accepting.failures;
-      uint64_t closed = stats ().close_counts[HTTP_CLOSE_ROOM];
+      uint64_t closed = stats ().close_counts[HTTP_CLOSE_EVICTED];
       struct sockaddr_in at = loop_sockaddr (loopback (server->port ()));
       int waiting = socket (AF_INET, SOCK_STREAM, 0);
       ASSERT_EQ (0, connect (waiting, (struct sockaddr *)&at, sizeof at));
@@ -141,7 +141,7 @@
           wait ([&] { return stats ().accepting.failures > failures; }));
       none.reset ();
       EXPECT_EQ (lack ? EMFILE : EINVAL, stats ().accepting.last_errno);
-      EXPECT_EQ (lack, stats ().close_counts[HTTP_CLOSE_ROOM] > closed);
+      EXPECT_EQ (lack, stats ().close_counts[HTTP_CLOSE_EVICTED] > closed);
       close (waiting);
     }
 }
@@ -195,7 +195,7 @@
   ASSERT_TRUE (wait ([&] { return last.has ("HTTP/1.1 "); }));
   EXPECT_TRUE (last.has ("200"));
   EXPECT_TRUE (wait ([&] { return oldest.is_over (); }));
-  EXPECT_EQ (1u, stats ().close_counts[HTTP_CLOSE_ROOM]);
+  EXPECT_EQ (1u, stats ().close_counts[HTTP_CLOSE_EVICTED]);
   http_respond (server->open[0], 200, nullptr, 0, "held", 4);
   EXPECT_TRUE (wait ([&] { return held.has ("held"); }));
 }
@@ -210,7 +210,7 @@
   Caller &second = call (READY);
   ASSERT_TRUE (wait_for_held (2));
   EXPECT_FALSE (first.is_over ());
-  EXPECT_EQ (0u, stats ().close_counts[HTTP_CLOSE_ROOM]);
+  EXPECT_EQ (0u, stats ().close_counts[HTTP_CLOSE_EVICTED]);
   http_respond (server->open[0], 200, nullptr, 0, "one", 3);
   http_respond (server->open[1], 200, nullptr, 0, "two", 3);
   EXPECT_TRUE (wait ([&] { return first.has ("one") && first.has ("two"); }));
@@ -235,7 +235,7 @@
       callers[i]->shut ();
     }
   EXPECT_EQ (SERVED, server->targets.size ());
-  EXPECT_EQ (100u, stats ().refused_for_room);
+  EXPECT_EQ (100u, stats ().refused_beyond_limit);
   EXPECT_EQ (SERVED, server->open.size ());
   while (!server->open.empty ())
     {
@@ -312,7 +312,7 @@
           EXPECT_TRUE (caller->has ("HTTP/1.1 503 "));
           caller->shut ();
         }
-    return stats ().refused_for_room == 20;
+    return stats ().refused_beyond_limit == 20;
   }));
   EXPECT_EQ (1u, server->open.size ());
 }
@@ -455,7 +455,7 @@
       served += callers[i]->has ("200");
     }
   EXPECT_EQ (12, served);
-  EXPECT_EQ (0u, stats ().refused_for_room);
+  EXPECT_EQ (0u, stats ().refused_beyond_limit);
 }
 INSTANTIATE_TEST_SUITE_P (SlowReader, RoomBesideASlowReader, testing::Bool ());
 
--- a/tests/mesh_ledger_test.cc
+++ b/tests/mesh_ledger_test.cc
@@ -191,7 +191,7 @@
   ledger_check (&ledger, &account);
   EXPECT_EQ (3u, ledger.entered);
   EXPECT_EQ (1u, ledger.answered);
-  EXPECT_EQ (2u, ledger.left[LEDGER_READING][3]);
+  EXPECT_EQ (2u, ledger.abandoned[LEDGER_READING][3]);
   EXPECT_EQ (0, violations);
 }
 
