--- a/src/edge/runner_detach.c
+++ b/src/edge/runner_detach.c
@@ -9,7 +9,7 @@
 };
 
 static void
-attach (run_t *run)
+remove_from_detached (run_t *run)
 {
   runner_t *runner = run->runner;
   if (run->state == RUN_STATE_ENDED)
@@ -65,7 +65,7 @@
   if (runner->detached_reply_bytes <= DETACHED_REPLY_MAX_BYTES)
     return;
   runner->stats.runs_detach_refused++;
-  attach (run);
+  remove_from_detached (run);
   run_free (run);
 }
 
@@ -108,7 +108,7 @@
                                  CAUSE_OUTCOME_NOT_KEPT);
     }
   if (found->detached)
-    attach (found);
+    remove_from_detached (found);
   if (found->state != RUN_STATE_ENDED)
     {
       runner->stats.runs_resumed++;
@@ -128,7 +128,7 @@
          && runner->detached_first->detached_until_us <= runner->loop->now_us)
     {
       run_t *run = runner->detached_first;
-      attach (run);
+      remove_from_detached (run);
       runner->stats.runs_detach_expired++;
       if (run->state == RUN_STATE_ENDED)
         run_free (run);
@@ -150,7 +150,7 @@
   while (runner->detached_first != NULL)
     {
       run_t *run = runner->detached_first;
-      attach (run);
+      remove_from_detached (run);
       if (run->state == RUN_STATE_ENDED)
         run_free (run);
     }
