Soak: a server that is leaving fails its health check

The stand-in of the backend server announced its leaving (acknowledged at .660 of second 359), its sidecar restarted at 362.202, asked for its health at 362.252 and was told 200, used it, and the stand-in ended with the run open at 362.704. The platform's servers answer 503 to a health check while they leave, so the stand-in was wrong. It does so now, which is stricter for the sidecar: a server that is leaving must not be used by a fresh one.

--- a/tests/support_world.c
+++ b/tests/support_world.c
@@ -393,7 +393,8 @@
   int size = snprintf (headers, sizeof headers,
                        "X-Instance-Id: %s\r\nX-Server-Load: %u,0,%d\r\n",
                        at->id, at->running, SLOTS);
-  http_respond (http, 200, headers, (size_t)size, NULL, 0);
+  http_respond (http, at->leaving > 0 ? 503 : 200, headers, (size_t)size, NULL,
+                0);
 }
 
 static void
