--- a/review/standin/standin.c
+++ b/review/standin/standin.c
@@ -618,12 +618,23 @@
 
 /* --- machines and daemons ------------------------------------------------ */
 
-static uint16_t
-free_port (const char *ip)
+enum
 {
-  uint16_t port = 0;
-  close (si_listen (ip, &port));
-  return port;
+  PORTS = 7
+};
+
+/* Ports of the kernel's choice, all different.  */
+static void
+free_ports (const char *ip, uint16_t *const ports[PORTS])
+{
+  int fds[PORTS];
+  for (int i = 0; i < PORTS; i++)
+    {
+      *ports[i] = 0;
+      fds[i] = si_listen (ip, ports[i]);
+    }
+  for (int i = 0; i < PORTS; i++)
+    close (fds[i]);
 }
 
 void
@@ -637,13 +648,11 @@
             number);
   snprintf (machine->ip, sizeof machine->ip, "127.%d.%d.%d", net_a, net_b,
             number);
-  machine->outbound = free_port (machine->ip);
-  machine->inbound = free_port (machine->ip);
-  machine->ready = free_port (machine->ip);
-  machine->control = free_port (machine->ip);
-  machine->peer = free_port (machine->ip);
-  machine->metrics = free_port (machine->ip);
-  machine->app = free_port (machine->ip);
+  free_ports (machine->ip,
+              (uint16_t *const[PORTS]){
+                  &machine->outbound, &machine->inbound, &machine->ready,
+                  &machine->control, &machine->peer, &machine->metrics,
+                  &machine->app });
   machines[machine_count++] = machine;
 }
 
@@ -866,7 +875,13 @@
             "X-Attempt-Id: %s\r\nX-Server-Signature: %s\r\n"
             "X-Server-Load: %d,0,%d\r\nKeep-Alive: timeout=10\r\n",
             attempt, upstream->id, upstream->running, upstream->slots);
-  respond (fd, 200, fields, "ok", 2);
+  size_t body_size = (size_t)atoi (query_value (target, "n"));
+  if (body_size < 2)
+    body_size = 2;
+  char *body = malloc (body_size);
+  memset (body, 'r', body_size);
+  respond (fd, 200, fields, body, body_size);
+  free (body);
 }
 
 static void *
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -118,7 +118,8 @@
   char id[32];
   char service[32];
   int slots;
-  int work_ms; /* of a run; a target with w=N in its query says another */
+  int work_ms; /* of a run; a target with w=N in its query says another, and
+                  with n=N the size of the answer */
   int64_t born;
   int sequence;
   /* A heartbeat is on its way for this long.  */
