--- a/review/standin/standin.c
+++ b/review/standin/standin.c
@@ -797,6 +797,7 @@
 
 si_run_t si_runs[SI_RUNS_MAX];
 int si_run_count;
+void (*si_on_run) (si_upstream_t *upstream, const char *target);
 static pthread_mutex_t runs_lock = PTHREAD_MUTEX_INITIALIZER;
 
 int
@@ -868,6 +869,10 @@
   pthread_mutex_unlock (&runs_lock);
   __sync_fetch_and_add (&upstream->running, 1);
   __sync_fetch_and_add (&upstream->run_total, 1);
+  if (si_on_run != NULL)
+    si_on_run (upstream, target);
+  if (!upstream->up)
+    return;
   const char *work = query_value (target, "w");
   si_sleep_ms (work[0] != '\0' ? atoi (work) : upstream->work_ms);
   __sync_fetch_and_sub (&upstream->running, 1);
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -111,6 +111,8 @@
 extern si_run_t si_runs[SI_RUNS_MAX];
 extern int si_run_count;
 int si_count_runs (const char *attempt);
+/* Called as a run begins, if set; it may let the server crash.  */
+extern void (*si_on_run) (struct si_upstream_t *upstream, const char *target);
 
 struct si_upstream_t
 {
