A server is used only once it has announced its service

Cause: an id that only a health check had named began a new incarnation. A check names an instance, not its service, and the address of a server that has ended may go to one of another service. As requests named the new id, its refusal of requests for other instances did not help.

Evidence: the log of the old code has "backend-changed source=health-check server=i-catalogue9 born=0" beside "announcement-ignored service=catalogue"; a reply with 421, the other way by which an id arrives, only marks the server as unreachable.

Now only an announcement makes an instance known. A passed check of another instance ends the use of the known one and is remembered, so that the instance is used as soon as its announcement arrives; instance-unannounced logs it.

Until the announcement came, a cold start of full length was assumed, so a fresh sidecar sent its server 50 requests a second; that assumption has no use any more.

--- a/src/edge/backend_watch.c
+++ b/src/edge/backend_watch.c
@@ -171,11 +171,25 @@
 
 /* --- health checks ----------------------------------------------------- */
 
+/* Logs that the instance of PROBE has passed a health check but is not used,
+   as it has not announced itself.  Once for each instance.  */
+static void
+log_unannounced (backend_watch_t *watch, const server_health_reply_t *probe)
+{
+  const server_view_t *view = &watch->view;
+  if (!probe->healthy || strcmp (probe->id, view->id) == 0
+      || strcmp (probe->id, view->passed_id) == 0)
+    return;
+  event_log_write (watch->log, EVENT_STATE_CHANGE, "instance-unannounced",
+                   "server=%s known=%s", probe->id, view->id);
+}
+
 static void
 on_probe_result (void *ctx, const server_health_reply_t *probe)
 {
   backend_watch_t *watch = ctx;
   watch->probe_pending = false;
+  log_unannounced (watch, probe);
   if (server_view_apply_probe (&watch->view, probe, watch->loop->now_us))
     apply_change (watch, "health-check");
   else if (probe->cold_start_left_us >= 0)
@@ -234,7 +248,6 @@
   snprintf (watch->health_path, sizeof watch->health_path, "%s",
             service->health_path);
   watch->cold_start_rate_per_s = service->cold_start_rate_per_s;
-  watch->view.cold_start_us = service->cold_start_us;
   bool first = !watch->configured;
   watch->configured = true;
   if (first)
--- a/src/edge/runner_probe.c
+++ b/src/edge/runner_probe.c
@@ -38,8 +38,6 @@
       else if (role == REPLY_FIELD_COLD_START)
         call->probe.cold_start_left_us
             = (int64_t)(strtod (text, NULL) * US_PER_MS);
-      else if (role == REPLY_FIELD_LOAD)
-        sscanf (text, "%*u,%*u,%u", &call->probe.slots);
     }
   return HTTP_VERDICT_ACCEPT;
 }
--- a/src/mesh/server_view.c
+++ b/src/mesh/server_view.c
@@ -23,7 +23,6 @@
   snprintf (view->id, sizeof view->id, "%s", id);
   view->started_unix_ms = started_unix_ms;
   view->sequence = 0;
-  view->announced = false;
   view->leaving = false;
   view->gone = false;
   view->cold_start_until_us = 0;
@@ -40,15 +39,12 @@
       if (announcement->started_unix_ms != view->started_unix_ms)
         return announcement->started_unix_ms < view->started_unix_ms;
       if (has_id (view, announcement->id))
-        return view->gone
-               || (view->announced
-                   && announcement->sequence <= view->sequence);
+        return view->gone || announcement->sequence <= view->sequence;
       return false;
     }
   if (!has_id (view, announcement->id))
     return false;
-  return view->gone
-         || (view->announced && announcement->sequence <= view->sequence);
+  return view->gone || announcement->sequence <= view->sequence;
 }
 
 static announcement_result_t
@@ -80,8 +76,7 @@
                     && announcement->started_unix_ms > view->started_unix_ms);
   bool first = view->id[0] == '\0';
   bool leaving = announcement->state == SERVER_LEAVING;
-  bool changed = is_new || !view->announced || !view->reachable
-                 || leaving != view->leaving
+  bool changed = is_new || !view->reachable || leaving != view->leaving
                  || announcement->slots != view->slots;
   if (is_new)
     begin_incarnation (view, announcement->id, announcement->started_unix_ms);
@@ -89,9 +84,8 @@
   view->sequence = announcement->sequence;
   view->slots = announcement->slots;
   view->leaving = leaving;
-  view->announced = true;
-  view->confirmed = !first;
-  view->reachable = !first || strcmp (view->failed_id, view->id) != 0;
+  view->confirmed = !first || strcmp (view->passed_id, view->id) == 0;
+  view->reachable = view->confirmed || strcmp (view->failed_id, view->id) != 0;
   view->cold_start_until_us = announcement->cold_start_left_us > 0
                                   ? now_us + announcement->cold_start_left_us
                                   : 0;
@@ -113,6 +107,18 @@
   return true;
 }
 
+/* Another instance replies at the server's address.  A reply names no service,
+   and the address of a server that has ended may be used by one of another
+   service, so the instance is not used before it announces itself.  */
+static bool
+apply_unannounced_instance (server_view_t *view, const char *id)
+{
+  bool changed = view->reachable;
+  snprintf (view->passed_id, sizeof view->passed_id, "%s", id);
+  view->reachable = false;
+  return changed;
+}
+
 bool
 server_view_apply_probe (server_view_t *view,
                          const server_health_reply_t *probe, int64_t now_us)
@@ -121,24 +127,19 @@
     return false;
   if (!probe->healthy)
     return apply_failed_probe (view, probe->id);
-  if (view->gone && has_id (view, probe->id))
+  if (!has_id (view, probe->id))
+    return apply_unannounced_instance (view, probe->id);
+  if (view->gone)
     return false;
-  bool is_new = !has_id (view, probe->id);
-  bool changed = is_new || !view->reachable;
-  if (is_new)
-    begin_incarnation (view, probe->id, 0);
+  bool changed = !view->reachable;
   /* A leaving server that became unreachable stays so: it takes no new
      requests.  */
-  if (changed && view->leaving && !is_new)
+  if (changed && view->leaving)
     return false;
   view->reachable = true;
   view->confirmed = true;
-  if (probe->slots > 0 && !view->announced)
-    view->slots = probe->slots;
   if (probe->cold_start_left_us >= 0)
     view->cold_start_until_us = now_us + probe->cold_start_left_us;
-  else if (is_new)
-    view->cold_start_until_us = now_us + view->cold_start_us;
   return changed;
 }
 
--- a/src/mesh/server_view.h
+++ b/src/mesh/server_view.h
@@ -3,26 +3,27 @@
 
 /* State of the backend server beside a sidecar, as known from the server's
    announcements, health checks and connections.  Each start of a server is a
-   new incarnation, identified by its id and start time.  Does no I/O and reads
-   no clock.  */
+   new incarnation, identified by its id and start time.  Only an announcement
+   names the service of an instance, so only it makes an instance known.  Does
+   no I/O and reads no clock.  */
 
 #include "mesh/dialect.h"
 
 typedef struct server_view_t
 {
   char service[NAME_BYTES]; /* that must run on this VM */
-  char id[64];              /* "" while unknown */
+  /* Of the announced instance; "" before any announcement.  */
+  char id[64];
   uint64_t started_unix_ms; /* start of the server; 0 is unknown */
   uint64_t sequence;        /* of the last announcement */
   uint32_t slots;
-  bool announced;     /* this incarnation has announced itself */
   bool confirmed;     /* by a second announcement or a health check */
   char failed_id[64]; /* failed a health check before it was known; "" none */
+  char passed_id[64]; /* passed one before it announced itself; "" none */
   bool reachable;
   bool leaving; /* no new requests are to be started */
   bool gone;    /* announced that it has stopped */
   int64_t cold_start_until_us;
-  int64_t cold_start_us; /* configured length of a cold start */
 } server_view_t;
 
 typedef enum announcement_result_t
@@ -46,15 +47,13 @@
 {
   bool healthy;
   char id[64];                /* "" is unknown */
-  uint32_t slots;             /* 0 is unknown */
   int64_t cold_start_left_us; /* -1 is unknown */
 } server_health_reply_t;
 
-/* Updates VIEW with the reply to a health check.  Returns true if the reply
-   has the id of another incarnation of the server than VIEW, or if the server
-   has become reachable, or is no longer, as a failed check contradicts the
-   only announcement so far.  Any other failed check and a reply without the id
-   of the server change nothing.  */
+/* Updates VIEW with the reply to a health check.  Returns true if the server
+   has become reachable, or is no longer, as another instance replied in its
+   place or a failed check contradicts the only announcement so far.  Any other
+   failed check and a reply without the id of the server change nothing.  */
 bool server_view_apply_probe (server_view_t *view,
                               const server_health_reply_t *probe,
                               int64_t now_us);
--- a/tests/support_watched.h
+++ b/tests/support_watched.h
@@ -54,6 +54,13 @@
                       fields.size (), "", 0);
         return;
       }
+    std::string expected = field_of (exchange, "X-Expected-Instance");
+    if (expected != "" && expected != instance)
+      {
+        std::string fields = "X-Instance-Id: " + instance + "\r\n";
+        http_respond (exchange, 421, fields.data (), fields.size (), "", 0);
+        return;
+      }
     run_ids.push_back (id_of (exchange));
     if (hold)
       backend->open.push_back (exchange);
