A server is used only after a health check of this process

Cause: a fresh process knows its server from announcements, which may be older than itself, and from its own health checks, which are not. From the second announcement on these outweighed failed checks.

Evidence: LeavingServer is green with one late announcement and failed checks and red with two. New rows that failed before: the same after draining, one late announcement while checks hang (twice), and a DELETE that overtakes all announcements of its server while the one before it is still known.

Now a check that was sent since the need for it must have passed: after a start, a refused connection, a reply of another instance, the end of an evacuation, and for each new incarnation. Announcements confirm a server only when they have arrived for ten seconds after that, since checks of a sound server may fail. A check that was sent before the need does not count. With that, what the view remembers of failed checks goes.

AFailedCheckOutweighsOnlyTheFirstAnnouncement demanded that the second announcement wins; AnnouncementsOutweighFailedChecksAfterTenSeconds is in its place. The Announcement table asks for availability after a passed check, and also that there is none before.

--- a/src/edge/backend_watch.c
+++ b/src/edge/backend_watch.c
@@ -68,7 +68,7 @@
       "source=%s server=%s born=%llu sequence=%llu slots=%u well=%d "
       "leaving=%d gone=%d cold-ms=%lld zone-out=%d",
       source, view->id, (unsigned long long)view->started_unix_ms,
-      (unsigned long long)view->sequence, view->slots, view->reachable,
+      (unsigned long long)view->sequence, view->slots, view->confirmed,
       view->leaving, view->gone,
       (long long)(view->cold_start_until_us > watch->loop->now_us
                       ? (view->cold_start_until_us - watch->loop->now_us)
@@ -152,6 +152,11 @@
       return;
     }
   apply_announcement (watch, &announcement);
+  if (!server_view_is_available (&watch->view))
+    {
+      watch->probe_sent_us = 0;
+      backend_watch_tick (watch);
+    }
   http_respond (http, 200, json, sizeof json - 1, "{}", 2);
 }
 
@@ -216,10 +221,10 @@
 void
 backend_watch_mark_unreachable (backend_watch_t *watch, const char *server_id)
 {
-  bool was_reachable = watch->view.reachable;
-  server_view_mark_unreachable (&watch->view);
+  bool was_confirmed = watch->view.confirmed;
+  server_view_require_check (&watch->view, watch->loop->now_us);
   watch->probe_sent_us = 0;
-  if (was_reachable)
+  if (was_confirmed)
     apply_change (watch, server_id != NULL ? "wrong-instance" : "unreachable");
 }
 
@@ -233,7 +238,7 @@
      before requests are sent to it.  */
   if (!out)
     {
-      server_view_mark_unreachable (&watch->view);
+      server_view_require_check (&watch->view, watch->loop->now_us);
       watch->probe_sent_us = 0;
     }
   apply_change (watch, "operator");
--- a/src/edge/backend_watch.h
+++ b/src/edge/backend_watch.h
@@ -32,9 +32,9 @@
 /* Returns the handler for the HTTP server that takes announcements.  */
 http_handler_t backend_watch_handler (backend_watch_t *watch);
 
-/* Marks the server as unreachable until it announces itself or passes a health
-   check.  SERVER_ID is NULL if no connection could be made, or the id of
-   another instance that replied in its place.  */
+/* Marks the server as unreachable until it passes a health check.  SERVER_ID
+   is NULL if no connection could be made, or the id of another instance that
+   replied in its place.  */
 void backend_watch_mark_unreachable (backend_watch_t *watch,
                                      const char *server_id);
 
--- a/src/edge/runner_probe.c
+++ b/src/edge/runner_probe.c
@@ -62,7 +62,8 @@
 on_probe_failure (void *ctx, http_failure_t failure)
 {
   probe_call_t *call = ctx;
-  call->probe = (server_health_reply_t){ .cold_start_left_us = -1 };
+  call->probe = (server_health_reply_t){ .cold_start_left_us = -1,
+                                         .sent_us = call->probe.sent_us };
   /* A server whose slots are all busy may not reply in time; that does not
      make it unhealthy.  */
   if (failure != HTTP_FAILURE_DEADLINE && failure != HTTP_FAILURE_NO_SOCKET)
@@ -82,6 +83,7 @@
   call->callback = callback;
   call->ctx = ctx;
   call->probe.cold_start_left_us = -1;
+  call->probe.sent_us = runner->loop->now_us;
   bytes_append_format (&head, "GET %s HTTP/1.1\r\nHost: health\r\n\r\n", path);
   http_request_t request = {
     .head = bytes_data (&head),
--- a/src/mesh/server_view.c
+++ b/src/mesh/server_view.c
@@ -3,10 +3,18 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "clock.h"
+
+enum
+{
+  /* An announcement may arrive this long after it was sent.  */
+  ANNOUNCEMENT_DELAY_MAX_US = 10 * US_PER_S
+};
+
 void
 server_view_init (server_view_t *view, const char *service)
 {
-  *view = (server_view_t){ .reachable = false };
+  *view = (server_view_t){ .confirmed = false };
   snprintf (view->service, sizeof view->service, "%s", service);
 }
 
@@ -16,13 +24,28 @@
   return strcmp (view->id, id) == 0;
 }
 
+/* Requires a health check to pass before the server is sent requests.  It must
+   be sent at SINCE_US or later.  */
+static void
+require_check (server_view_t *view, int64_t since_us)
+{
+  view->confirmed = false;
+  view->unconfirmed_since_us = since_us;
+  view->passed_id[0] = '\0';
+}
+
 static void
-begin_incarnation (server_view_t *view, const char *id,
-                   uint64_t started_unix_ms)
+begin_incarnation (server_view_t *view,
+                   const server_announcement_t *announcement, int64_t now_us)
 {
-  snprintf (view->id, sizeof view->id, "%s", id);
-  view->started_unix_ms = started_unix_ms;
-  view->sequence = 0;
+  /* If the id is not new, the check may have been that of the incarnation
+     before.  */
+  bool passed = !has_id (view, announcement->id)
+                && strcmp (view->passed_id, announcement->id) == 0;
+  require_check (view, now_us);
+  view->confirmed = passed;
+  snprintf (view->id, sizeof view->id, "%s", announcement->id);
+  view->started_unix_ms = announcement->started_unix_ms;
   view->leaving = false;
   view->gone = false;
   view->cold_start_until_us = 0;
@@ -74,48 +97,37 @@
   bool is_new = !has_id (view, announcement->id)
                 || (view->started_unix_ms > 0
                     && announcement->started_unix_ms > view->started_unix_ms);
-  bool first = view->id[0] == '\0';
   bool leaving = announcement->state == SERVER_LEAVING;
-  bool changed = is_new || !view->reachable || leaving != view->leaving
+  /* Sent since a check became necessary.  It outweighs failed checks, as a
+     server that is sound may fail them.  */
+  bool confirms
+      = !is_new && !view->confirmed
+        && now_us - view->unconfirmed_since_us >= ANNOUNCEMENT_DELAY_MAX_US;
+  bool changed = is_new || confirms || leaving != view->leaving
                  || announcement->slots != view->slots;
   if (is_new)
-    begin_incarnation (view, announcement->id, announcement->started_unix_ms);
+    begin_incarnation (view, announcement, now_us);
+  view->confirmed = view->confirmed || confirms;
   view->started_unix_ms = announcement->started_unix_ms;
   view->sequence = announcement->sequence;
   view->slots = announcement->slots;
   view->leaving = leaving;
-  view->confirmed = !first || strcmp (view->passed_id, view->id) == 0;
-  view->reachable = view->confirmed || strcmp (view->failed_id, view->id) != 0;
   view->cold_start_until_us = announcement->cold_start_left_us > 0
                                   ? now_us + announcement->cold_start_left_us
                                   : 0;
   return changed ? ANNOUNCEMENT_CHANGED : ANNOUNCEMENT_UNCHANGED;
 }
 
-/* The first announcement that this sidecar receives may be a delayed one, of a
-   server that has announced its end to an earlier process of this sidecar, so
-   it does not outweigh a failed health check.  Later ones do: replies to
-   health checks may be wrong.  */
-static bool
-apply_failed_probe (server_view_t *view, const char *id)
-{
-  if (view->id[0] == '\0')
-    snprintf (view->failed_id, sizeof view->failed_id, "%s", id);
-  if (!has_id (view, id) || view->confirmed || !view->reachable)
-    return false;
-  view->reachable = false;
-  return true;
-}
-
 /* Another instance replies at the server's address.  A reply names no service,
    and the address of a server that has ended may be used by one of another
    service, so the instance is not used before it announces itself.  */
 static bool
-apply_unannounced_instance (server_view_t *view, const char *id)
+apply_unannounced_instance (server_view_t *view,
+                            const server_health_reply_t *probe)
 {
-  bool changed = view->reachable;
-  snprintf (view->passed_id, sizeof view->passed_id, "%s", id);
-  view->reachable = false;
+  bool changed = view->confirmed;
+  require_check (view, probe->sent_us);
+  snprintf (view->passed_id, sizeof view->passed_id, "%s", probe->id);
   return changed;
 }
 
@@ -123,20 +135,18 @@
 server_view_apply_probe (server_view_t *view,
                          const server_health_reply_t *probe, int64_t now_us)
 {
-  if (probe->id[0] == '\0')
+  if (probe->id[0] == '\0' || !probe->healthy
+      || probe->sent_us < view->unconfirmed_since_us)
     return false;
-  if (!probe->healthy)
-    return apply_failed_probe (view, probe->id);
   if (!has_id (view, probe->id))
-    return apply_unannounced_instance (view, probe->id);
+    return apply_unannounced_instance (view, probe);
   if (view->gone)
     return false;
-  bool changed = !view->reachable;
-  /* A leaving server that became unreachable stays so: it takes no new
-     requests.  */
+  bool changed = !view->confirmed;
+  /* A leaving server that needs a check takes no new requests, so it stays
+     out of use.  */
   if (changed && view->leaving)
     return false;
-  view->reachable = true;
   view->confirmed = true;
   if (probe->cold_start_left_us >= 0)
     view->cold_start_until_us = now_us + probe->cold_start_left_us;
@@ -144,7 +154,7 @@
 }
 
 void
-server_view_mark_unreachable (server_view_t *view)
+server_view_require_check (server_view_t *view, int64_t now_us)
 {
-  view->reachable = false;
+  require_check (view, now_us);
 }
--- a/src/mesh/server_view.h
+++ b/src/mesh/server_view.h
@@ -4,8 +4,10 @@
 /* State of the backend server beside a sidecar, as known from the server's
    announcements, health checks and connections.  Each start of a server is a
    new incarnation, identified by its id and start time.  Only an announcement
-   names the service of an instance, so only it makes an instance known.  Does
-   no I/O and reads no clock.  */
+   names the service of an instance, so only it makes an instance known.  As it
+   may be older than what this sidecar, or its process before a restart, has
+   been told since, the instance must also pass a health check before it is
+   sent requests.  Does no I/O and reads no clock.  */
 
 #include "mesh/dialect.h"
 
@@ -17,10 +19,12 @@
   uint64_t started_unix_ms; /* start of the server; 0 is unknown */
   uint64_t sequence;        /* of the last announcement */
   uint32_t slots;
-  bool confirmed;     /* by a second announcement or a health check */
-  char failed_id[64]; /* failed a health check before it was known; "" none */
-  char passed_id[64]; /* passed one before it announced itself; "" none */
-  bool reachable;
+  /* The server can be sent requests.  False until a health check that was sent
+     at UNCONFIRMED_SINCE_US or later has passed.  */
+  bool confirmed;
+  int64_t unconfirmed_since_us;
+  /* Instance that has passed such a check without being known; "" is none.  */
+  char passed_id[64];
   bool leaving; /* no new requests are to be started */
   bool gone;    /* announced that it has stopped */
   int64_t cold_start_until_us;
@@ -48,27 +52,29 @@
   bool healthy;
   char id[64];                /* "" is unknown */
   int64_t cold_start_left_us; /* -1 is unknown */
+  int64_t sent_us;            /* when the check was sent */
 } server_health_reply_t;
 
-/* Updates VIEW with the reply to a health check.  Returns true if the server
-   has become reachable, or is no longer, as another instance replied in its
-   place or a failed check contradicts the only announcement so far.  Any other
-   failed check and a reply without the id of the server change nothing.  */
+/* Updates VIEW with the reply to a health check.  Returns true if this
+   confirms the server, or if the server needs a check again as another
+   instance replied in its place.  A failed check and a reply without an id
+   change nothing.  */
 bool server_view_apply_probe (server_view_t *view,
                               const server_health_reply_t *probe,
                               int64_t now_us);
 
 /* Notes that the state of the server must be confirmed: it refused a
    connection, reported another instance, or the evacuation of its zone ended.
-   No requests are sent to it until it announces itself or passes a health
-   check.  */
-void server_view_mark_unreachable (server_view_t *view);
+   No requests are sent to it until it passes a health check that is sent now
+   or later.  An announcement confirms it only after ten seconds, since it may
+   have been sent long before it arrives.  */
+void server_view_require_check (server_view_t *view, int64_t now_us);
 
-/* Returns whether the server is known, reachable and has not stopped.  */
+/* Returns whether the server is known, confirmed and has not stopped.  */
 static inline bool
 server_view_is_available (const server_view_t *view)
 {
-  return view->id[0] != '\0' && view->reachable && !view->gone
+  return view->id[0] != '\0' && view->confirmed && !view->gone
          && view->slots > 0;
 }
 
--- a/tests/mesh_decisions_test.cc
+++ b/tests/mesh_decisions_test.cc
@@ -991,7 +991,7 @@
   server_announcement_t second;
   announcement_result_t result;
   const char *id; /* in the view afterwards */
-  bool available;
+  bool available; /* once it has passed a health check */
 };
 
 server_announcement_t
@@ -1017,10 +1017,18 @@
 {
   server_view_t view;
   server_view_init (&view, "s");
+  auto pass_check = [&view] {
+    server_health_reply_t passed = { true, "", -1, US_PER_S };
+    memcpy (passed.id, view.id, sizeof passed.id);
+    server_view_apply_probe (&view, &passed, US_PER_S);
+  };
   server_view_apply_announcement (&view, &GetParam ().first, US_PER_S);
+  EXPECT_FALSE (server_view_is_available (&view));
+  pass_check ();
   EXPECT_EQ (GetParam ().result, server_view_apply_announcement (
                                      &view, &GetParam ().second, US_PER_S));
   EXPECT_STREQ (GetParam ().id, view.id);
+  pass_check ();
   EXPECT_EQ (GetParam ().available, server_view_is_available (&view));
 }
 
@@ -1061,8 +1069,9 @@
    taken for its successor.  */
 TEST (Probes, AnInstanceIsUsedOnlyOnceItHasAnnouncedItself)
 {
-  server_health_reply_t failing = { false, "j", -1 };
-  server_health_reply_t healthy = { true, "j", 0 };
+  server_health_reply_t failing = { false, "j", -1, US_PER_S };
+  server_health_reply_t old_healthy = { true, "i", 0, US_PER_S };
+  server_health_reply_t healthy = { true, "j", 0, US_PER_S };
   server_announcement_t other_service
       = make_announcement ("j", 9, 1, SERVER_READY, "t");
   server_announcement_t old = make_announcement ("i", 5, 1);
@@ -1072,7 +1081,11 @@
       server_view_t view;
       server_view_init (&view, "s");
       if (successor)
-        server_view_apply_announcement (&view, &old, US_PER_S);
+        {
+          server_view_apply_announcement (&view, &old, US_PER_S);
+          EXPECT_TRUE (
+              server_view_apply_probe (&view, &old_healthy, US_PER_S));
+        }
       EXPECT_FALSE (server_view_apply_probe (&view, &failing, US_PER_S));
       EXPECT_EQ (successor,
                  server_view_apply_probe (&view, &healthy, US_PER_S));
@@ -1089,37 +1102,59 @@
     }
 }
 
-TEST (Probes, AFailedCheckOutweighsOnlyTheFirstAnnouncement)
+/* A fresh process used a server that had left, on the word of announcements
+   from before.  */
+TEST (Probes, AnnouncementsOutweighFailedChecksAfterTenSeconds)
 {
-  server_health_reply_t failing = { false, "i", -1 };
-  server_health_reply_t other = { false, "j", -1 };
-  server_announcement_t first = make_announcement ("i", 5, 7);
-  server_announcement_t second = make_announcement ("i", 5, 8);
+  server_health_reply_t failing = { false, "i", -1, US_PER_S };
   for (bool check_first : { false, true })
     {
       server_view_t view;
       server_view_init (&view, "s");
+      int64_t now_us = US_PER_S;
       if (check_first)
-        server_view_apply_probe (&view, &failing, US_PER_S);
-      server_view_apply_announcement (&view, &first, US_PER_S);
-      EXPECT_FALSE (server_view_apply_probe (&view, &other, US_PER_S));
-      EXPECT_EQ (!check_first,
-                 server_view_apply_probe (&view, &failing, US_PER_S));
-      EXPECT_FALSE (server_view_is_available (&view));
+        server_view_apply_probe (&view, &failing, now_us);
+      for (int i = 0; i < 10; i++, now_us += US_PER_S)
+        {
+          server_announcement_t ready = make_announcement ("i", 5, 7 + i);
+          server_view_apply_announcement (&view, &ready, now_us);
+          EXPECT_FALSE (server_view_is_available (&view));
+          EXPECT_FALSE (server_view_apply_probe (&view, &failing, now_us));
+        }
+      server_announcement_t ready = make_announcement ("i", 5, 17);
       EXPECT_EQ (ANNOUNCEMENT_CHANGED,
-                 server_view_apply_announcement (&view, &second, US_PER_S));
-      EXPECT_FALSE (server_view_apply_probe (&view, &failing, US_PER_S));
+                 server_view_apply_announcement (&view, &ready, now_us));
+      EXPECT_FALSE (server_view_apply_probe (&view, &failing, now_us));
       EXPECT_TRUE (server_view_is_available (&view));
     }
 }
 
+TEST (Probes, OnlyACheckSentAfterItBecameNecessaryConfirms)
+{
+  server_view_t view;
+  server_view_init (&view, "s");
+  server_announcement_t ready = make_announcement ("i", 5, 1);
+  server_announcement_t next = make_announcement ("i", 5, 2);
+  server_health_reply_t earlier = { true, "i", 0, US_PER_S };
+  server_health_reply_t later = { true, "i", 0, 2 * US_PER_S };
+  server_view_apply_announcement (&view, &ready, US_PER_S);
+  EXPECT_TRUE (server_view_apply_probe (&view, &earlier, US_PER_S));
+  EXPECT_TRUE (server_view_is_available (&view));
+  server_view_require_check (&view, 2 * US_PER_S);
+  server_view_apply_announcement (&view, &next, 2 * US_PER_S);
+  EXPECT_FALSE (server_view_apply_probe (&view, &earlier, 2 * US_PER_S));
+  EXPECT_FALSE (server_view_is_available (&view));
+  EXPECT_TRUE (server_view_apply_probe (&view, &later, 2 * US_PER_S));
+  EXPECT_TRUE (server_view_is_available (&view));
+}
+
 TEST (Probes, AServerThatIsGoneStaysUnavailableEvenIfHealthy)
 {
   server_view_t view;
   server_view_init (&view, "s");
   server_announcement_t ready = make_announcement ("i", 5, 1);
   server_announcement_t gone = make_announcement ("i", 0, 0, SERVER_GONE);
-  server_health_reply_t healthy = { true, "i", 0 };
+  server_health_reply_t healthy = { true, "i", 0, US_PER_S };
   server_view_apply_announcement (&view, &ready, US_PER_S);
   server_view_apply_announcement (&view, &gone, US_PER_S);
   EXPECT_FALSE (server_view_apply_probe (&view, &healthy, US_PER_S));
--- a/tests/mesh_power_loss_test.cc
+++ b/tests/mesh_power_loss_test.cc
@@ -17,7 +17,8 @@
   NOT_LATE,
   LATE_AT_ONCE, /* before the first health check of the new life */
   LATE_AFTER_A_CHECK,
-  TWO_LATE
+  TWO_LATE,
+  LATE_WITHOUT_CHECKS /* the server replies to no health check */
 };
 
 class PowerLoss : public Watched
@@ -27,7 +28,7 @@
   told (told_t what)
   {
     return what == TOLD_DRAINING
-               ? announcement (2, "draining")
+               ? announcement (3, "draining")
                : "DELETE /-/instances/" + instance
                      + " HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
   }
@@ -56,6 +57,7 @@
   first.send (request ("GET", "/read/1", "before"));
   ASSERT_TRUE (wait_turning ([&] { return first.has ("whole"); }));
   leaving = true;
+  hold_checks = row.late == LATE_WITHOUT_CHECKS;
   if (row.acknowledged)
     announce_acknowledged (told (row.told));
   else
@@ -81,6 +83,8 @@
       ASSERT_TRUE (wait_turning ([&] { return health_checks >= 2; }));
       announce_acknowledged (announcement (1, "ready"));
     }
+  if (row.late == LATE_WITHOUT_CHECKS)
+    announce_acknowledged (announcement (1, "ready"));
   if (row.late == TWO_LATE)
     for (int sequence : { 1, 2 })
       announce_acknowledged (announcement (sequence, "ready"));
@@ -92,7 +96,7 @@
   if (row.gone)
     return;
   EXPECT_TRUE (row.told_again || row.late != NOT_LATE || health_checks >= 2);
-  leaving = false;
+  leaving = hold_checks = false;
   instance = "j";
   announce_ready ();
   Caller next (http_server_port (a->callers));
@@ -126,8 +130,29 @@
     TWO_LATE },
   { "DeleteAcknowledgedOlderOneAtOnce", TOLD_DELETE, true, false, false,
     LATE_AT_ONCE },
+  { "DrainingAcknowledgedTwoOlderOnesLate", TOLD_DRAINING, true, false, false,
+    TWO_LATE },
+  { "DrainingAcknowledgedOlderOneLateNoChecks", TOLD_DRAINING, true, false,
+    false, LATE_WITHOUT_CHECKS },
+  { "DeleteAcknowledgedOlderOneLateNoChecks", TOLD_DELETE, true, false, false,
+    LATE_WITHOUT_CHECKS },
 };
 
+/* A server that had sent DELETE before the sidecar knew it was used when its
+   announcements arrived.  */
+TEST_F (PowerLoss, DeleteOvertakesTheAnnouncementsOfItsServer)
+{
+  announce_ready ();
+  instance = "j";
+  leaving = true;
+  announce_acknowledged (told (TOLD_DELETE));
+  for (int sequence : { 1, 2 })
+    announce_acknowledged (announcement (sequence, "ready"));
+  press ();
+  EXPECT_EQ (std::vector<std::string> (), run_ids);
+  EXPECT_EQ (0u, placement_accepting_count (a->placement, "s"));
+}
+
 INSTANTIATE_TEST_SUITE_P (Table, LeavingServer,
                           testing::ValuesIn (leaving_rows),
                           [] (const auto &row) {
--- a/tests/mesh_restart_test.cc
+++ b/tests/mesh_restart_test.cc
@@ -48,6 +48,12 @@
         = platform_parse_policy (COLD_POLICY, strlen (COLD_POLICY), &error);
     ASSERT_NE (nullptr, cold_policy) << error.message;
     backend->answer = [this] (http_exchange_t *exchange) {
+      if (std::string (bytes_data (&exchange->target)) == "/health")
+        {
+          static const char fields[] = "X-Instance-Id: i\r\n";
+          http_respond (exchange, 200, fields, sizeof fields - 1, "", 0);
+          return;
+        }
       received_us.push_back (loop.now_us);
       answer_signed (exchange, id_of (exchange), "x");
     };
@@ -84,6 +90,7 @@
         run_t *run = nullptr;
         runner_start_call (b->runner, &request, &sink, &run, &failure);
       }
+    backend_watch_tick (watch);
     runner_tick (b->runner);
   }
   int sent_count = 0;
--- a/tests/support_watched.h
+++ b/tests/support_watched.h
@@ -24,6 +24,7 @@
   std::string service = "s"; /* in the server's announcements */
   bool leaving = false;
   bool hold = false; /* the server keeps its requests open */
+  bool hold_checks = false;
   int health_checks = 0;
   std::vector<std::string> run_ids; /* of the requests that reached it */
 
@@ -48,6 +49,11 @@
     if (std::string (bytes_data (&exchange->target)) == "/health")
       {
         health_checks++;
+        if (hold_checks)
+          {
+            backend->open.push_back (exchange);
+            return;
+          }
         std::string fields
             = "X-Instance-Id: " + instance + "\r\nX-Server-Load: 0,0,10\r\n";
         http_respond (exchange, leaving ? 503 : 200, fields.data (),
