Any sign of a server's end makes its interrupted runs suspects

Cause: an interrupted run is remembered for 3 s and becomes a suspect if the server is found to have ended in that time. Only a request whose connection is refused and an announcement of another id counted. A service without other requests has neither if its server is away for longer.

Evidence: no sidecar logs backend-crashed. CrashSign: a refused health check, a later start under the same id, another instance that replies to a check and one that rejects a request failed before (4 of 5 rows; the fifth, where the server is still there, passed and passes).

All of these now record the crash, and a refused health check takes the server out of use like a refused request.

--- a/src/edge/backend_watch.c
+++ b/src/edge/backend_watch.c
@@ -105,10 +105,13 @@
 apply_announcement (backend_watch_t *watch,
                     const server_announcement_t *announcement)
 {
+  uint64_t started_unix_ms = watch->view.started_unix_ms;
   switch (server_view_apply_announcement (&watch->view, announcement,
                                           watch->loop->now_us))
     {
     case ANNOUNCEMENT_CHANGED:
+      if (watch->view.started_unix_ms != started_unix_ms)
+        runner_record_crash (watch->runner);
       apply_change (watch, "announcement");
       break;
     case ANNOUNCEMENT_UNCHANGED:
@@ -195,7 +198,12 @@
   backend_watch_t *watch = ctx;
   watch->probe_pending = false;
   log_unannounced (watch, probe);
-  if (server_view_apply_probe (&watch->view, probe, watch->loop->now_us))
+  bool was_confirmed = watch->view.confirmed;
+  bool changed
+      = server_view_apply_probe (&watch->view, probe, watch->loop->now_us);
+  if (was_confirmed && !watch->view.confirmed)
+    runner_record_crash (watch->runner); /* another instance has replied */
+  if (changed)
     apply_change (watch, "health-check");
   else if (probe->cold_start_left_us >= 0)
     apply_refresh (watch, "health-check");
@@ -223,9 +231,10 @@
 {
   bool was_confirmed = watch->view.confirmed;
   server_view_require_check (&watch->view, watch->loop->now_us);
+  if (!was_confirmed)
+    return;
   watch->probe_sent_us = 0;
-  if (was_confirmed)
-    apply_change (watch, server_id != NULL ? "wrong-instance" : "unreachable");
+  apply_change (watch, server_id != NULL ? "wrong-instance" : "unreachable");
 }
 
 void
--- a/src/edge/runner.h
+++ b/src/edge/runner.h
@@ -58,12 +58,15 @@
 void runner_free (runner_t *runner);
 
 /* Sets what is known of the backend server.  SERVER_ID is the instance that
-   requests are sent to from now on.  When it differs from the one before, the
-   runs that were interrupted lately are suspected of having crashed that
-   one.  */
+   requests are sent to from now on.  When it differs from the one before, that
+   one has ended, as with runner_record_crash.  */
 void runner_set_server (runner_t *runner, const intake_server_t *server,
                         const char *server_id);
 
+/* Records that the backend server, or the instance before it, has ended: the
+   runs that were interrupted lately are suspected of having crashed it.  */
+void runner_record_crash (runner_t *runner);
+
 typedef enum start_verdict_t
 {
   START_ACCEPTED, /* runs or waits; *run is valid until its last callback */
--- a/src/edge/runner_answer.c
+++ b/src/edge/runner_answer.c
@@ -62,6 +62,13 @@
     runner->handler.suspects_changed (runner->handler.ctx, suspect_count);
 }
 
+void
+runner_handle_connect_failure (runner_t *runner)
+{
+  runner_record_crash (runner);
+  runner->handler.server_lost (runner->handler.ctx, NULL);
+}
+
 /* --- ends of a run ----------------------------------------------------- */
 
 /* Ends RUN.  Keeps its outcome if it must run at most once or is detached,
@@ -270,6 +277,7 @@
     return HTTP_VERDICT_SKIP;
   if (status == 421)
     {
+      runner_record_crash (runner);
       runner->handler.server_lost (runner->handler.ctx, parsed.server_id);
       return reject_reply (run, CAUSE_SERVER_CHANGED);
     }
@@ -414,10 +422,8 @@
     runner->handler.run_failed (runner->handler.ctx, run->attempt_id,
                                 run->server_id, cause);
   run_fail (run, kind, cause);
-  if (http_failure != HTTP_FAILURE_CONNECT)
-    return;
-  runner_record_crash (runner);
-  runner->handler.server_lost (runner->handler.ctx, NULL);
+  if (http_failure == HTTP_FAILURE_CONNECT)
+    runner_handle_connect_failure (runner);
 }
 
 http_response_handler_t
--- a/src/edge/runner_impl.h
+++ b/src/edge/runner_impl.h
@@ -175,8 +175,7 @@
    the call may have run.  */
 void run_abort (run_t *run);
 
-/* Records a crash of the server: the runs that were interrupted within
-   CRASH_DETECTION_US before are suspected of it.  */
-void runner_record_crash (runner_t *runner);
+/* Records that the server accepts no connections.  */
+void runner_handle_connect_failure (runner_t *runner);
 
 #endif
--- a/src/edge/runner_probe.c
+++ b/src/edge/runner_probe.c
@@ -68,6 +68,8 @@
      make it unhealthy.  */
   if (failure != HTTP_FAILURE_DEADLINE && failure != HTTP_FAILURE_NO_SOCKET)
     call->callback (call->ctx, &call->probe);
+  if (failure == HTTP_FAILURE_CONNECT)
+    runner_handle_connect_failure (call->runner);
   free (call);
 }
 
--- a/tests/support_watched.h
+++ b/tests/support_watched.h
@@ -22,6 +22,7 @@
   uint16_t port = 0; /* of the backend server, also after its end */
   std::string instance = "i";
   std::string service = "s"; /* in the server's announcements */
+  int born = 1;
   bool leaving = false;
   bool hold = false; /* the server keeps its requests open */
   bool hold_checks = false;
@@ -134,9 +135,9 @@
     const std::string body
         = R"({"service":")" + service
           + R"(","address":"127.0.0.1:1","zone":"z","version":"v","slots":10,)"
-            R"("coldRemainingS":0,"born":1,"state":")"
-          + std::string (state) + R"(","sequence":)"
-          + std::to_string (sequence) + "}";
+            R"("coldRemainingS":0,"born":)"
+          + std::to_string (born) + R"(,"state":")" + std::string (state)
+          + R"(","sequence":)" + std::to_string (sequence) + "}";
     return "PUT /-/instances/" + instance
            + " HTTP/1.1\r\nHost: h\r\nContent-Length: "
            + std::to_string (body.size ()) + "\r\n\r\n" + body;
