A suspect of a crash is not sent to a second server

Cause: a read that fails is sent to the next server at once, and crashes of one request within a second count as one. They must, as otherwise a loss of power of many servers would block whatever they all were running.

ASuspectIsNotSentToASecondServer takes a retry for a suspect before (1, 0 wanted) and none after.

Now no retry is taken for a request of which a run has crashed a server and none has ended with a reply since. The first arrival may still crash several servers, as nobody suspects it yet.

--- a/src/edge/entry_impl.h
+++ b/src/edge/entry_impl.h
@@ -152,6 +152,11 @@
                          was cancelled */
 };
 
+/* --- entry_point.c ----------------------------------------------------- */
+
+/* Returns whether the request is suspected of having crashed a server.  */
+bool exchange_is_crash_suspect (const exchange_t *exchange);
+
 /* --- entry_tree.c ------------------------------------------------------ */
 
 /* Returns the state of the exchange's route.  Finds the bottleneck of its call
--- a/src/edge/entry_place.c
+++ b/src/edge/entry_place.c
@@ -303,7 +303,8 @@
   entry_point_t *entry = exchange->entry;
   int64_t left_us = exchange->deadline_us - entry->deps.loop->now_us;
   if (!exchange->idempotent || exchange->retries_left == 0
-      || left_us < 2 * RESPONSE_MARGIN_US)
+      || left_us < 2 * RESPONSE_MARGIN_US
+      || exchange_is_crash_suspect (exchange))
     return false;
   if (!entry_take_retry (entry, exchange->service, exchange->route))
     return false;
--- a/src/edge/entry_point.c
+++ b/src/edge/entry_point.c
@@ -229,25 +229,38 @@
   return false;
 }
 
+static uint64_t
+make_fingerprint (const exchange_t *exchange)
+{
+  const http_exchange_t *http = exchange->http;
+  return crash_suspects_fingerprint (
+      exchange->account, bytes_data (&http->target), bytes_data (&http->body),
+      bytes_size (&http->body));
+}
+
 /* Checks that the request is not blocked as one that crashes backend servers.
    Returns false, having ended the exchange, when it is.  */
 static bool
 check_crash_suspect (exchange_t *exchange)
 {
   crash_suspects_t *suspects = exchange->entry->deps.suspects;
-  const http_exchange_t *http = exchange->http;
   if (crash_suspects_is_empty (suspects)
-      || !crash_suspects_should_refuse (
-          suspects,
-          crash_suspects_fingerprint (
-              exchange->account, bytes_data (&http->target),
-              bytes_data (&http->body), bytes_size (&http->body)),
-          exchange->entry->deps.loop->now_us))
+      || !crash_suspects_should_refuse (suspects, make_fingerprint (exchange),
+                                        exchange->entry->deps.loop->now_us))
     return true;
   exchange_respond_error (exchange, ENTRY_CRASH_SUSPECT, 503);
   return false;
 }
 
+bool
+exchange_is_crash_suspect (const exchange_t *exchange)
+{
+  crash_suspects_t *suspects = exchange->entry->deps.suspects;
+  return !crash_suspects_is_empty (suspects)
+         && crash_suspects_is_suspected (suspects, make_fingerprint (exchange),
+                                         exchange->entry->deps.loop->now_us);
+}
+
 /* Adds tokens to the retry pools of the request's call tree.  Also records the
    request if it is a call of the backend server.  */
 static void
--- a/src/mesh/crash_suspects.c
+++ b/src/mesh/crash_suspects.c
@@ -138,6 +138,15 @@
   return true;
 }
 
+bool
+crash_suspects_is_suspected (crash_suspects_t *suspects, uint64_t fingerprint,
+                             int64_t now_us)
+{
+  const suspect_t *suspect = find_suspect (suspects, fingerprint);
+  return suspect != NULL && suspect->state.crashes > 0
+         && suspect->expires_us > now_us;
+}
+
 bool
 crash_suspects_should_refuse (crash_suspects_t *suspects, uint64_t fingerprint,
                               int64_t now_us)
--- a/src/mesh/crash_suspects.h
+++ b/src/mesh/crash_suspects.h
@@ -12,7 +12,8 @@
    Unlike in quarantine.h, a suspect is not run alone first.  A server under
    load is never idle, so a suspect that had to wait for that would be refused,
    which is worse for the many requests that merely ran at the same time as the
-   cause of the crash.
+   cause of the crash.  It is not sent to a second server, though, where a
+   crash would be counted with that of the first.
 
    Does no I/O and reads no clock: the caller passes the time and sends changes
    to the other sidecars.  */
@@ -57,6 +58,11 @@
 bool crash_suspects_record_completion (crash_suspects_t *suspects,
                                        uint64_t fingerprint, int64_t now_us);
 
+/* Returns whether a server has crashed while it ran FINGERPRINT, and no run of
+   it has ended with a reply since.  */
+bool crash_suspects_is_suspected (crash_suspects_t *suspects,
+                                  uint64_t fingerprint, int64_t now_us);
+
 /* Returns whether to refuse a request with FINGERPRINT.  Each refusal extends
    the block.  */
 bool crash_suspects_should_refuse (crash_suspects_t *suspects,
--- a/tests/mesh_crash_signs_test.cc
+++ b/tests/mesh_crash_signs_test.cc
@@ -3,6 +3,8 @@
 
 #include "support_watched.h"
 
+#include <numeric>
+
 namespace
 {
 enum sign_t
@@ -82,4 +84,51 @@
                           [] (const auto &row) {
                             return std::string (row.param.name);
                           });
+
+/* Ends the connection after a part of the response.  */
+void
+answer_in_part (http_exchange_t *exchange)
+{
+  std::string fields
+      = "X-Attempt-Id: " + id_of (exchange) + "\r\nX-Server-Signature: s\r\n";
+  http_start_response (exchange, 200, fields.data (), fields.size (), 5);
+  http_write_body (exchange, "wh", 2);
+  http_abort_response (exchange);
+}
+
+/* A read that crashes servers was sent to up to three in a row, which counted
+   as one crash.  */
+TEST_F (Watched, ASuspectIsNotSentToASecondServer)
+{
+  crash_suspects_record_crash (
+      a->suspects, crash_suspects_fingerprint ("", "/read/1", "", 0),
+      loop.now_us);
+  for (bool suspected : { true, false })
+    {
+      announce_ready ();
+      Caller busy (http_server_port (a->callers));
+      for (int i = 0; i < 20; i++) /* they fill the retry pool */
+        {
+          busy.got.clear ();
+          busy.send (request ("GET", "/read/9", "id-0"));
+          ASSERT_TRUE (wait_turning ([&] { return busy.has ("whole"); }));
+        }
+      run_ids.clear ();
+      hold = true;
+      Caller caller (http_server_port (a->callers));
+      caller.send (suspected ? request ("GET", "/read/1", "id-1")
+                             : request ("GET", "/read/2", "id-2"));
+      ASSERT_TRUE (wait_turning ([&] { return backend->open.size () == 1; }));
+      hold = false;
+      answer_in_part (backend->open[0]);
+      backend->open.clear ();
+      ASSERT_TRUE (wait_turning ([&] { return caller.has ("\r\n\r\n"); }));
+      EXPECT_EQ (1u, run_ids.size ()) << "there is no other server";
+      entry_stats_t stats = entry_stats (a->entry);
+      EXPECT_EQ (
+          suspected ? 0u : 1u,
+          std::accumulate (stats.retries, stats.retries + CAUSE_COUNT, 0u));
+      born++;
+    }
+}
 }
