An announcement does not end a cold start that a check has told of

Cause: announcements and health checks wrote the same field, the last one to arrive winning. An announcement may be on its way for seconds, so one from before the cold start lifted its limit until the next check.

Evidence: "backend-warm source=announcement" in the log while the server is cold.

Each source now has its own field and the later end holds. A check replaces what was announced before it was sent; an announcement may lengthen a cold start, but not end what a check has told. Where only announcements tell, a newer one may shorten it as before.

--- a/src/edge/backend_watch.c
+++ b/src/edge/backend_watch.c
@@ -53,7 +53,7 @@
     .available = is_usable (watch),
     .leaving = view->leaving || view->gone,
     .zone_out = watch->zone_out,
-    .cold_start_until_us = view->cold_start_until_us,
+    .cold_start_until_us = server_view_cold_start_until_us (view),
     .cold_start_rate_per_s = watch->cold_start_rate_per_s,
   };
   runner_set_server (watch->runner, &server, view->id);
@@ -63,6 +63,8 @@
 log_view (backend_watch_t *watch, const char *event, const char *source)
 {
   const server_view_t *view = &watch->view;
+  int64_t cold_start_left_us
+      = server_view_cold_start_until_us (view) - watch->loop->now_us;
   event_log_write (
       watch->log, EVENT_STATE_CHANGE, event,
       "source=%s server=%s born=%llu sequence=%llu slots=%u well=%d "
@@ -70,10 +72,7 @@
       source, view->id, (unsigned long long)view->started_unix_ms,
       (unsigned long long)view->sequence, view->slots, view->confirmed,
       view->leaving, view->gone,
-      (long long)(view->cold_start_until_us > watch->loop->now_us
-                      ? (view->cold_start_until_us - watch->loop->now_us)
-                            / US_PER_MS
-                      : 0),
+      (long long)(cold_start_left_us > 0 ? cold_start_left_us / US_PER_MS : 0),
       watch->zone_out);
 }
 
@@ -92,7 +91,8 @@
 static void
 apply_refresh (backend_watch_t *watch, const char *source)
 {
-  bool cold = watch->view.cold_start_until_us > watch->loop->now_us;
+  bool cold
+      = server_view_cold_start_until_us (&watch->view) > watch->loop->now_us;
   if (cold != watch->was_cold)
     log_view (watch, cold ? "backend-cold" : "backend-warm", source);
   watch->was_cold = cold;
--- a/src/mesh/server_view.c
+++ b/src/mesh/server_view.c
@@ -44,11 +44,12 @@
                 && strcmp (view->passed_id, announcement->id) == 0;
   require_check (view, now_us);
   view->confirmed = passed;
+  if (!passed)
+    view->checked_cold_until_us = 0;
   snprintf (view->id, sizeof view->id, "%s", announcement->id);
   view->started_unix_ms = announcement->started_unix_ms;
   view->leaving = false;
   view->gone = false;
-  view->cold_start_until_us = 0;
 }
 
 /* Returns whether an announcement is out of date: a delayed one may arrive
@@ -112,22 +113,35 @@
   view->sequence = announcement->sequence;
   view->slots = announcement->slots;
   view->leaving = leaving;
-  view->cold_start_until_us = announcement->cold_start_left_us > 0
-                                  ? now_us + announcement->cold_start_left_us
-                                  : 0;
+  view->announced_us = now_us;
+  view->announced_cold_until_us = now_us + announcement->cold_start_left_us;
   return changed ? ANNOUNCEMENT_CHANGED : ANNOUNCEMENT_UNCHANGED;
 }
 
+/* Takes over what the reply to a health check tells of the cold start.  */
+static void
+apply_cold_start (server_view_t *view, const server_health_reply_t *probe,
+                  int64_t now_us)
+{
+  if (probe->cold_start_left_us < 0 || probe->sent_us < view->cold_check_us)
+    return;
+  view->cold_check_us = probe->sent_us;
+  view->checked_cold_until_us = now_us + probe->cold_start_left_us;
+  if (probe->sent_us >= view->announced_us)
+    view->announced_cold_until_us = 0;
+}
+
 /* Another instance replies at the server's address.  A reply names no service,
    and the address of a server that has ended may be used by one of another
    service, so the instance is not used before it announces itself.  */
 static bool
 apply_unannounced_instance (server_view_t *view,
-                            const server_health_reply_t *probe)
+                            const server_health_reply_t *probe, int64_t now_us)
 {
   bool changed = view->confirmed;
   require_check (view, probe->sent_us);
   snprintf (view->passed_id, sizeof view->passed_id, "%s", probe->id);
+  apply_cold_start (view, probe, now_us);
   return changed;
 }
 
@@ -135,11 +149,15 @@
 server_view_apply_probe (server_view_t *view,
                          const server_health_reply_t *probe, int64_t now_us)
 {
-  if (probe->id[0] == '\0' || !probe->healthy
-      || probe->sent_us < view->unconfirmed_since_us)
+  if (probe->id[0] == '\0' || probe->sent_us < view->unconfirmed_since_us)
+    return false;
+  bool is_known = has_id (view, probe->id);
+  if (is_known)
+    apply_cold_start (view, probe, now_us);
+  if (!probe->healthy)
     return false;
-  if (!has_id (view, probe->id))
-    return apply_unannounced_instance (view, probe);
+  if (!is_known)
+    return apply_unannounced_instance (view, probe, now_us);
   if (view->gone)
     return false;
   bool changed = !view->confirmed;
@@ -148,8 +166,6 @@
   if (changed && view->leaving)
     return false;
   view->confirmed = true;
-  if (probe->cold_start_left_us >= 0)
-    view->cold_start_until_us = now_us + probe->cold_start_left_us;
   return changed;
 }
 
--- a/src/mesh/server_view.h
+++ b/src/mesh/server_view.h
@@ -27,7 +27,12 @@
   char passed_id[64];
   bool leaving; /* no new requests are to be started */
   bool gone;    /* announced that it has stopped */
-  int64_t cold_start_until_us;
+  /* End of the cold start, as last announced and as last told in reply to a
+     health check.  The later one holds.  */
+  int64_t announced_cold_until_us;
+  int64_t checked_cold_until_us;
+  int64_t announced_us;  /* when the last announcement arrived */
+  int64_t cold_check_us; /* when the check that told of it was sent */
 } server_view_t;
 
 typedef enum announcement_result_t
@@ -70,6 +75,17 @@
    have been sent long before it arrives.  */
 void server_view_require_check (server_view_t *view, int64_t now_us);
 
+/* Returns the time until which the server is in its cold start.  An
+   announcement does not end one that a health check has told of, since it may
+   have been sent before that began.  */
+static inline int64_t
+server_view_cold_start_until_us (const server_view_t *view)
+{
+  return view->announced_cold_until_us > view->checked_cold_until_us
+             ? view->announced_cold_until_us
+             : view->checked_cold_until_us;
+}
+
 /* Returns whether the server is known, confirmed and has not stopped.  */
 static inline bool
 server_view_is_available (const server_view_t *view)
--- a/tests/mesh_decisions_test.cc
+++ b/tests/mesh_decisions_test.cc
@@ -1161,6 +1161,126 @@
   EXPECT_FALSE (server_view_is_available (&view));
 }
 
+/* What tells of a cold start, in the order in which it arrives.  */
+struct ColdFact
+{
+  enum
+  {
+    ANNOUNCEMENT,
+    CHECK,
+    FAILED_CHECK,
+    RESTART /* an announcement of a later start under the same id */
+  } kind;
+  int64_t at_ms;
+  int64_t left_ms;
+  int64_t sent_ms; /* of a check */
+  const char *id = "i";
+};
+
+struct ColdFactsRow
+{
+  const char *name;
+  std::vector<ColdFact> facts;
+  int64_t until_ms;
+};
+
+class ColdFacts : public testing::TestWithParam<ColdFactsRow>
+{
+};
+
+/* An announcement from before a cold start lifted its limit.  */
+TEST_P (ColdFacts, OlderOnesDoNotEndAColdStart)
+{
+  server_view_t view;
+  server_view_init (&view, "s");
+  uint64_t sequence = 0;
+  uint64_t started_unix_ms = 5;
+  for (const ColdFact &fact : GetParam ().facts)
+    {
+      bool announces = fact.kind == ColdFact::ANNOUNCEMENT
+                       || fact.kind == ColdFact::RESTART;
+      started_unix_ms += fact.kind == ColdFact::RESTART;
+      server_announcement_t announcement
+          = make_announcement (fact.id, started_unix_ms, ++sequence);
+      announcement.cold_start_left_us = fact.left_ms * US_PER_MS;
+      server_health_reply_t reply
+          = { fact.kind == ColdFact::CHECK, "",
+              fact.left_ms < 0 ? -1 : fact.left_ms * US_PER_MS,
+              fact.sent_ms * US_PER_MS };
+      strncpy (reply.id, fact.id, sizeof reply.id - 1);
+      if (announces)
+        server_view_apply_announcement (&view, &announcement,
+                                        fact.at_ms * US_PER_MS);
+      else
+        server_view_apply_probe (&view, &reply, fact.at_ms * US_PER_MS);
+    }
+  EXPECT_EQ (GetParam ().until_ms * US_PER_MS,
+             server_view_cold_start_until_us (&view));
+}
+
+const ColdFactsRow cold_facts_rows[] = {
+  { "LateAnnouncementAfterACheck",
+    { { ColdFact::ANNOUNCEMENT, 1000, 0, 0 },
+      { ColdFact::CHECK, 2000, 3000, 2000 },
+      { ColdFact::ANNOUNCEMENT, 2500, 0, 0 } },
+    5000 },
+  { "TwoLateAnnouncementsAfterACheck",
+    { { ColdFact::ANNOUNCEMENT, 1000, 0, 0 },
+      { ColdFact::CHECK, 2000, 3000, 2000 },
+      { ColdFact::ANNOUNCEMENT, 2500, 0, 0 },
+      { ColdFact::ANNOUNCEMENT, 3000, 100, 0 } },
+    5000 },
+  { "LateAnnouncementAfterAFailedCheck",
+    { { ColdFact::ANNOUNCEMENT, 1000, 0, 0 },
+      { ColdFact::FAILED_CHECK, 2000, 3000, 2000 },
+      { ColdFact::ANNOUNCEMENT, 2500, 0, 0 } },
+    5000 },
+  { "LateFirstAnnouncementAfterACheck",
+    { { ColdFact::CHECK, 2000, 3000, 2000 },
+      { ColdFact::ANNOUNCEMENT, 2500, 0, 0 } },
+    5000 },
+  { "LateFirstAnnouncementOfASuccessorAfterACheck",
+    { { ColdFact::ANNOUNCEMENT, 1000, 0, 0 },
+      { ColdFact::CHECK, 2000, 3000, 2000, "j" },
+      { ColdFact::ANNOUNCEMENT, 2500, 0, 0, "j" } },
+    5000 },
+  { "AnnouncementBeginsAColdStart",
+    { { ColdFact::ANNOUNCEMENT, 1000, 0, 0 },
+      { ColdFact::CHECK, 2000, 0, 2000 },
+      { ColdFact::ANNOUNCEMENT, 2500, 3000, 0 } },
+    5500 },
+  { "LaterCheckEndsIt",
+    { { ColdFact::ANNOUNCEMENT, 1000, 3000, 0 },
+      { ColdFact::CHECK, 2000, 500, 1990 } },
+    2500 },
+  { "CheckSentBeforeTheAnnouncementDoesNot",
+    { { ColdFact::ANNOUNCEMENT, 1000, 0, 0 },
+      { ColdFact::ANNOUNCEMENT, 2000, 3000, 0 },
+      { ColdFact::CHECK, 2010, 0, 1990 } },
+    5000 },
+  { "ReplyToAnEarlierCheckComesLast",
+    { { ColdFact::ANNOUNCEMENT, 1000, 0, 0 },
+      { ColdFact::CHECK, 4000, 3000, 3990 },
+      { ColdFact::CHECK, 4010, 0, 2000 } },
+    7000 },
+  { "OnlyAnnouncementsTell",
+    { { ColdFact::ANNOUNCEMENT, 1000, 3000, 0 },
+      { ColdFact::CHECK, 1500, -1, 1500 },
+      { ColdFact::ANNOUNCEMENT, 2000, 500, 0 } },
+    2500 },
+  { "RestartUnderTheSameId",
+    { { ColdFact::ANNOUNCEMENT, 1000, 0, 0 },
+      { ColdFact::CHECK, 2000, 9000, 2000 },
+      { ColdFact::RESTART, 2500, 3000, 0 } },
+    5500 },
+};
+
+INSTANTIATE_TEST_SUITE_P (Table, ColdFacts,
+                          testing::ValuesIn (cold_facts_rows),
+                          [] (const auto &row) {
+                            return std::string (row.param.name);
+                          });
+
 /* --- placement --------------------------------------------------------- */
 
 /* The servers of a service are being replaced.  The new ones are in their cold
