A reply to an overlapping check does not end a cold start

A check now replaces what is known only if it was sent after the last word on the cold start had arrived; otherwise it may only lengthen it. A reply that is too old to confirm the server may still tell of a cold start.

ColdFacts/ReplyToALaterCheckWasMadeEarlier failed before (until 4.010 s, 7 s wanted). What it costs: a cold start that ends early is noticed by the next check.

--- a/src/mesh/server_view.c
+++ b/src/mesh/server_view.c
@@ -113,7 +113,7 @@
   view->sequence = announcement->sequence;
   view->slots = announcement->slots;
   view->leaving = leaving;
-  view->announced_us = now_us;
+  view->cold_told_us = now_us;
   view->announced_cold_until_us = now_us + announcement->cold_start_left_us;
   return changed ? ANNOUNCEMENT_CHANGED : ANNOUNCEMENT_UNCHANGED;
 }
@@ -123,12 +123,16 @@
 apply_cold_start (server_view_t *view, const server_health_reply_t *probe,
                   int64_t now_us)
 {
-  if (probe->cold_start_left_us < 0 || probe->sent_us < view->cold_check_us)
+  int64_t until_us = now_us + probe->cold_start_left_us;
+  if (probe->cold_start_left_us < 0)
     return;
-  view->cold_check_us = probe->sent_us;
-  view->checked_cold_until_us = now_us + probe->cold_start_left_us;
-  if (probe->sent_us >= view->announced_us)
+  /* Otherwise the reply may be older than what was told meanwhile.  */
+  bool is_newest = probe->sent_us >= view->cold_told_us;
+  if (is_newest)
     view->announced_cold_until_us = 0;
+  if (is_newest || until_us > view->checked_cold_until_us)
+    view->checked_cold_until_us = until_us;
+  view->cold_told_us = now_us;
 }
 
 /* Another instance replies at the server's address.  A reply names no service,
@@ -149,12 +153,12 @@
 server_view_apply_probe (server_view_t *view,
                          const server_health_reply_t *probe, int64_t now_us)
 {
-  if (probe->id[0] == '\0' || probe->sent_us < view->unconfirmed_since_us)
+  if (probe->id[0] == '\0')
     return false;
   bool is_known = has_id (view, probe->id);
   if (is_known)
     apply_cold_start (view, probe, now_us);
-  if (!probe->healthy)
+  if (!probe->healthy || probe->sent_us < view->unconfirmed_since_us)
     return false;
   if (!is_known)
     return apply_unannounced_instance (view, probe, now_us);
--- a/src/mesh/server_view.h
+++ b/src/mesh/server_view.h
@@ -31,8 +31,7 @@
      health check.  The later one holds.  */
   int64_t announced_cold_until_us;
   int64_t checked_cold_until_us;
-  int64_t announced_us;  /* when the last announcement arrived */
-  int64_t cold_check_us; /* when the check that told of it was sent */
+  int64_t cold_told_us; /* when the last word on it arrived */
 } server_view_t;
 
 typedef enum announcement_result_t
