A check from before an instance's end does not confirm it

The DELETE was dropped as that of an unknown instance, and the check confirmed the announcement at once, so a server that had left was sent requests.

A DELETE of an instance that is not the known one now requires a new check, of whatever is at the address. ACheckFromBeforeItsEndDoesNotConfirmAnInstance failed before, with the reply before the DELETE and after it. What it costs: a late DELETE of a predecessor takes the server out of use until the next check, which is sent at once.

--- a/src/mesh/server_view.c
+++ b/src/mesh/server_view.c
@@ -73,10 +73,16 @@
 
 static announcement_result_t
 apply_stop_announcement (server_view_t *view,
-                         const server_announcement_t *announcement)
+                         const server_announcement_t *announcement,
+                         int64_t now_us)
 {
   if (view->id[0] != '\0' && !has_id (view, announcement->id))
-    return ANNOUNCEMENT_STALE;
+    {
+      /* Its announcements may still arrive; a check from before its end must
+         not confirm them.  */
+      require_check (view, now_us);
+      return ANNOUNCEMENT_STALE;
+    }
   bool changed = !view->gone;
   snprintf (view->id, sizeof view->id, "%s", announcement->id);
   view->gone = true;
@@ -90,7 +96,7 @@
                                 int64_t now_us)
 {
   if (announcement->state == SERVER_GONE)
-    return apply_stop_announcement (view, announcement);
+    return apply_stop_announcement (view, announcement, now_us);
   if (strcmp (announcement->service, view->service) != 0)
     return ANNOUNCEMENT_WRONG_SERVICE;
   if (is_stale (view, announcement))
--- a/tests/mesh_decisions_test.cc
+++ b/tests/mesh_decisions_test.cc
@@ -1161,6 +1161,30 @@
   EXPECT_FALSE (server_view_is_available (&view));
 }
 
+/* An instance that had passed a check was used when its announcement arrived
+   after its DELETE.  */
+TEST (Probes, ACheckFromBeforeItsEndDoesNotConfirmAnInstance)
+{
+  for (bool reply_first : { true, false })
+    {
+      server_view_t view;
+      server_view_init (&view, "s");
+      server_announcement_t old = make_announcement ("i", 5, 1);
+      server_announcement_t gone = make_announcement ("j", 0, 0, SERVER_GONE);
+      server_announcement_t late = make_announcement ("j", 9, 1);
+      server_health_reply_t passed = { true, "j", 0, 2 * US_PER_S };
+      server_view_apply_announcement (&view, &old, US_PER_S);
+      if (reply_first)
+        server_view_apply_probe (&view, &passed, 2 * US_PER_S);
+      server_view_apply_announcement (&view, &gone, 3 * US_PER_S);
+      if (!reply_first)
+        server_view_apply_probe (&view, &passed, 3 * US_PER_S);
+      server_view_apply_announcement (&view, &late, 4 * US_PER_S);
+      EXPECT_STREQ ("j", view.id);
+      EXPECT_FALSE (server_view_is_available (&view));
+    }
+}
+
 /* What tells of a cold start, in the order in which it arrives.  */
 struct ColdFact
 {
