--- a/src/mesh/server_view.c
+++ b/src/mesh/server_view.c
@@ -68,6 +68,9 @@
     }
   if (!has_id (view, announcement->id))
     return false;
+  /* It stopped before it was known, and may have started again.  */
+  if (view->gone && announcement->started_unix_ms > 0)
+    return false;
   return view->gone || announcement->sequence <= view->sequence;
 }
 
@@ -101,7 +104,7 @@
     return ANNOUNCEMENT_WRONG_SERVICE;
   if (is_stale (view, announcement))
     return ANNOUNCEMENT_STALE;
-  bool is_new = !has_id (view, announcement->id)
+  bool is_new = !has_id (view, announcement->id) || view->gone
                 || (view->started_unix_ms > 0
                     && announcement->started_unix_ms > view->started_unix_ms);
   bool leaving = announcement->state == SERVER_LEAVING;
--- a/tests/mesh_decisions_test.cc
+++ b/tests/mesh_decisions_test.cc
@@ -1051,6 +1051,8 @@
     false },
   { "AfterItWasGone", make_announcement ("i", 0, 0, SERVER_GONE),
     make_announcement ("i", 0, 7), ANNOUNCEMENT_STALE, "i", false },
+  { "StartedAgainAfterItWasGone", make_announcement ("i", 0, 0, SERVER_GONE),
+    make_announcement ("i", 9, 1), ANNOUNCEMENT_CHANGED, "i", true },
   { "AnotherInstanceGone", make_announcement ("j", 9, 1),
     make_announcement ("i", 0, 0, SERVER_GONE), ANNOUNCEMENT_STALE, "j",
     true },
