An older reply of an instance not yet announced counts for its cold start

Found when reading the change: a DELETE of another instance made the view ask for a check, but the runner was not told and went on. DeleteOfAnotherInstance- RequiresAHealthCheck fails without the call.

--- a/src/edge/backend_watch.c
+++ b/src/edge/backend_watch.c
@@ -106,6 +106,7 @@
                     const server_announcement_t *announcement)
 {
   uint64_t started_unix_ms = watch->view.started_unix_ms;
+  bool was_confirmed = watch->view.confirmed;
   switch (server_view_apply_announcement (&watch->view, announcement,
                                           watch->loop->now_us))
     {
@@ -125,6 +126,8 @@
                        (unsigned long long)announcement->started_unix_ms,
                        (unsigned long long)announcement->sequence,
                        watch->view.id);
+      if (was_confirmed && !watch->view.confirmed)
+        apply_change (watch, "announcement");
       break;
     }
 }
--- a/src/mesh/server_view.c
+++ b/src/mesh/server_view.c
@@ -24,10 +24,8 @@
   return strcmp (view->id, id) == 0;
 }
 
-/* Requires a health check to pass before the server is sent requests.  It must
-   be sent at SINCE_US or later.  */
-static void
-require_check (server_view_t *view, int64_t since_us)
+void
+server_view_require_check (server_view_t *view, int64_t since_us)
 {
   view->confirmed = false;
   view->unconfirmed_since_us = since_us;
@@ -42,7 +40,7 @@
      before.  */
   bool passed = !has_id (view, announcement->id)
                 && strcmp (view->passed_id, announcement->id) == 0;
-  require_check (view, now_us);
+  server_view_require_check (view, now_us);
   view->confirmed = passed;
   if (!passed)
     view->checked_cold_until_us = 0;
@@ -83,7 +81,7 @@
     {
       /* Its announcements may still arrive; a check from before its end must
          not confirm them.  */
-      require_check (view, now_us);
+      server_view_require_check (view, now_us);
       return ANNOUNCEMENT_STALE;
     }
   bool changed = !view->gone;
@@ -149,12 +147,11 @@
    service, so the instance is not used before it announces itself.  */
 static bool
 apply_unannounced_instance (server_view_t *view,
-                            const server_health_reply_t *probe, int64_t now_us)
+                            const server_health_reply_t *probe)
 {
   bool changed = view->confirmed;
-  require_check (view, probe->sent_us);
+  server_view_require_check (view, probe->sent_us);
   snprintf (view->passed_id, sizeof view->passed_id, "%s", probe->id);
-  apply_cold_start (view, probe, now_us);
   return changed;
 }
 
@@ -164,26 +161,17 @@
 {
   if (probe->id[0] == '\0')
     return false;
+  bool changed = false;
   bool is_known = has_id (view, probe->id);
-  if (is_known)
+  bool counts = probe->healthy && probe->sent_us >= view->unconfirmed_since_us;
+  if (counts && !is_known)
+    changed = apply_unannounced_instance (view, probe);
+  if (is_known || strcmp (view->passed_id, probe->id) == 0)
     apply_cold_start (view, probe, now_us);
-  if (!probe->healthy || probe->sent_us < view->unconfirmed_since_us)
-    return false;
-  if (!is_known)
-    return apply_unannounced_instance (view, probe, now_us);
-  if (view->gone)
-    return false;
-  bool changed = !view->confirmed;
+  if (!counts || !is_known || view->gone || view->confirmed)
+    return changed;
   /* A leaving server that needs a check takes no new requests, so it stays
      out of use.  */
-  if (changed && view->leaving)
-    return false;
-  view->confirmed = true;
-  return changed;
-}
-
-void
-server_view_require_check (server_view_t *view, int64_t now_us)
-{
-  require_check (view, now_us);
+  view->confirmed = !view->leaving;
+  return view->confirmed;
 }
--- a/src/mesh/server_view.h
+++ b/src/mesh/server_view.h
@@ -61,18 +61,18 @@
 
 /* Updates VIEW with the reply to a health check.  Returns true if this
    confirms the server, or if the server needs a check again as another
-   instance replied in its place.  A failed check and a reply without an id
-   change nothing.  */
+   instance replied in its place.  A failed check tells only of the cold
+   start, and a reply without an id tells nothing.  */
 bool server_view_apply_probe (server_view_t *view,
                               const server_health_reply_t *probe,
                               int64_t now_us);
 
 /* Notes that the state of the server must be confirmed: it refused a
    connection, reported another instance, or the evacuation of its zone ended.
-   No requests are sent to it until it passes a health check that is sent now
-   or later.  An announcement confirms it only after ten seconds, since it may
-   have been sent long before it arrives.  */
-void server_view_require_check (server_view_t *view, int64_t now_us);
+   No requests are sent to it until it passes a health check that is sent at
+   SINCE_US or later.  An announcement confirms it only after ten seconds,
+   since it may have been sent long before it arrives.  */
+void server_view_require_check (server_view_t *view, int64_t since_us);
 
 /* Returns the time until which the server is in its cold start.  An
    announcement does not end one that a health check has told of, since it may
--- a/tests/mesh_power_loss_test.cc
+++ b/tests/mesh_power_loss_test.cc
@@ -153,6 +153,21 @@
   EXPECT_EQ (0u, placement_accepting_count (a->placement, "s"));
 }
 
+/* A DELETE of another instance takes the server out of use until it has passed
+   a health check.  */
+TEST_F (PowerLoss, DeleteOfAnotherInstanceRequiresAHealthCheck)
+{
+  announce_ready ();
+  hold_checks = true;
+  announce_acknowledged ("DELETE /-/instances/j HTTP/1.1\r\nHost: h\r\n"
+                         "Content-Length: 0\r\n\r\n");
+  press ();
+  EXPECT_EQ (std::vector<std::string> (), run_ids);
+  hold_checks = false;
+  EXPECT_TRUE (wait_turning (
+      [&] { return placement_accepting_count (a->placement, "s") == 1; }));
+}
+
 INSTANTIATE_TEST_SUITE_P (Table, LeavingServer,
                           testing::ValuesIn (leaving_rows),
                           [] (const auto &row) {
