A warm server is not taken for cold at each announcement

Cause: since the mend of the cold start, "nothing left" was stored as an end at the time of arrival instead of 0. The intake compares the end with the time of its last update, which is earlier, so the server counted as cold until the next one, and sidecars reported each change.

ColdFacts/NothingIsLeft failed before.

--- a/src/mesh/server_view.c
+++ b/src/mesh/server_view.c
@@ -91,6 +91,14 @@
   return changed ? ANNOUNCEMENT_CHANGED : ANNOUNCEMENT_UNCHANGED;
 }
 
+/* Returns 0 if nothing is left.  Readers may compare the end with an earlier
+   time than NOW_US.  */
+static int64_t
+cold_start_end_us (int64_t left_us, int64_t now_us)
+{
+  return left_us > 0 ? now_us + left_us : 0;
+}
+
 announcement_result_t
 server_view_apply_announcement (server_view_t *view,
                                 const server_announcement_t *announcement,
@@ -121,7 +129,8 @@
   view->slots = announcement->slots;
   view->leaving = leaving;
   view->cold_told_us = now_us;
-  view->announced_cold_until_us = now_us + announcement->cold_start_left_us;
+  view->announced_cold_until_us
+      = cold_start_end_us (announcement->cold_start_left_us, now_us);
   return changed ? ANNOUNCEMENT_CHANGED : ANNOUNCEMENT_UNCHANGED;
 }
 
@@ -130,7 +139,7 @@
 apply_cold_start (server_view_t *view, const server_health_reply_t *probe,
                   int64_t now_us)
 {
-  int64_t until_us = now_us + probe->cold_start_left_us;
+  int64_t until_us = cold_start_end_us (probe->cold_start_left_us, now_us);
   if (probe->cold_start_left_us < 0)
     return;
   /* Otherwise the reply may be older than what was told meanwhile.  */
--- a/tests/mesh_decisions_test.cc
+++ b/tests/mesh_decisions_test.cc
@@ -1245,6 +1245,11 @@
 }
 
 const ColdFactsRow cold_facts_rows[] = {
+  { "NothingIsLeft",
+    { { ColdFact::ANNOUNCEMENT, 1000, 0, 0 },
+      { ColdFact::CHECK, 2000, 0, 2000 },
+      { ColdFact::ANNOUNCEMENT, 2500, 0, 0 } },
+    0 },
   { "LateAnnouncementAfterACheck",
     { { ColdFact::ANNOUNCEMENT, 1000, 0, 0 },
       { ColdFact::CHECK, 2000, 3000, 2000 },
