Tests of configuration changes: the server passes its health checks

A server is used only after a health check since, and a check is sent as it announces itself. The server of these tests took the check for a request: two programs did not end (mesh_policy_test) or freed the watch under a check (mesh_policy_read_test).

--- a/tests/support_config_feed.h
+++ b/tests/support_config_feed.h
@@ -122,8 +122,11 @@
            },
             [] (void *) {}, this };
     feed = operator_feed_new (&loop, feed_dialect (), &log, &operators);
+    backend->health_id = "i";
     configure ({});
     announce_slots (10);
+    ASSERT_TRUE (
+        wait ([this] { return backend_watch_view (watch)->confirmed; }));
   }
   void
   TearDown () override
--- a/tests/support_edge.h
+++ b/tests/support_edge.h
@@ -204,6 +204,7 @@
   std::vector<std::string> targets;
   std::vector<std::string> fields; /* of each request */
   int gone = 0;
+  std::string health_id; /* passes health checks; "" treats them as requests */
   std::function<void (http_exchange_t *)> answer;
   std::function<void (http_exchange_t *)> after_gone;
 
@@ -225,6 +226,13 @@
   on_request (void *ctx, http_exchange_t *exchange)
   {
     Server *self = (Server *)ctx;
+    if (self->health_id != ""
+        && strcmp (bytes_data (&exchange->target), "/health") == 0)
+      {
+        std::string health = "X-Instance-Id: " + self->health_id + "\r\n";
+        http_respond (exchange, 200, health.data (), health.size (), "", 0);
+        return;
+      }
     bytes_t text = {};
     for (uint32_t i = 0; i < exchange->fields.count; i++)
       field_append (&exchange->fields, &exchange->fields.items[i], &text);
