Health checks without a result are freed with the runner

LeakSanitizer failed mesh_crash_signs_test and mesh_power_loss_test: a health check that was under way as its runner was freed was not freed. In the daemon it matters only at its end.

The runner keeps a list of them. Both tests pass with address and undefined sanitizers after.

--- a/src/edge/runner.c
+++ b/src/edge/runner.c
@@ -306,6 +306,7 @@
   if (runner == NULL)
     return;
   http_client_free (runner->client);
+  runner_free_probes (runner);
   runner_free_detached (runner);
   run_t *next;
   for (run_t *run = runner->open_first; run != NULL; run = next)
--- a/src/edge/runner_impl.h
+++ b/src/edge/runner_impl.h
@@ -72,6 +72,8 @@
   int64_t interrupted_us;
 } interrupted_run_t;
 
+typedef struct probe_call_t probe_call_t;
+
 struct runner_t
 {
   loop_t *loop;
@@ -88,6 +90,7 @@
   run_t *attempt_buckets[ATTEMPT_BUCKETS];
   run_t *kept_first; /* ended runs whose outcome is kept, oldest first */
   run_t **kept_last;
+  probe_call_t *probes; /* health checks without a result */
   run_t *open_first;
   uint32_t open_count;
   run_t *detached_first; /* in the order in which their links were lost */
@@ -178,4 +181,9 @@
 /* Records that the server accepts no connections.  */
 void runner_handle_connect_failure (runner_t *runner);
 
+/* --- runner_probe.c ---------------------------------------------------- */
+
+/* Frees health checks without a result, without a callback.  */
+void runner_free_probes (runner_t *runner);
+
 #endif
--- a/src/edge/runner_probe.c
+++ b/src/edge/runner_probe.c
@@ -10,14 +10,31 @@
   PROBE_BODY_MAX_BYTES = 64 * 1024 /* the body is discarded */
 };
 
-typedef struct probe_call_t
+struct probe_call_t
 {
+  probe_call_t *next;
   runner_t *runner;
   runner_probe_callback_t callback;
   void *ctx;
   server_health_reply_t probe;
-  bool answered;
-} probe_call_t;
+};
+
+static void
+free_probe (probe_call_t *call)
+{
+  probe_call_t **at = &call->runner->probes;
+  while (*at != call)
+    at = &(*at)->next;
+  *at = call->next;
+  free (call);
+}
+
+void
+runner_free_probes (runner_t *runner)
+{
+  while (runner->probes != NULL)
+    free_probe (runner->probes);
+}
 
 static http_verdict_t
 on_probe_head (void *ctx, int status, const fields_t *fields, int64_t length)
@@ -55,7 +72,7 @@
 {
   probe_call_t *call = ctx;
   call->callback (call->ctx, &call->probe);
-  free (call);
+  free_probe (call);
 }
 
 static void
@@ -70,7 +87,7 @@
     call->callback (call->ctx, &call->probe);
   if (failure == HTTP_FAILURE_CONNECT)
     runner_handle_connect_failure (call->runner);
-  free (call);
+  free_probe (call);
 }
 
 void
@@ -82,6 +99,8 @@
   if (call == NULL)
     abort ();
   call->runner = runner;
+  call->next = runner->probes;
+  runner->probes = call;
   call->callback = callback;
   call->ctx = ctx;
   call->probe.cold_start_left_us = -1;
