Review case 8: reads behind a broken download get no answer

Tried: pipelines of a download of 200,000 bytes and two reads of another service; one of the two servers of the downloads breaks off 2 in 100 of its answers for 5 s.

Cause, as far as known: requests are passed on while an answer that may break off is being streamed before them, and the connection must then be closed.

--- a/review/standin-2/case_bodies.c
+++ b/review/standin-2/case_bodies.c
@@ -57,8 +57,8 @@
   if (strncmp (target, "/lodge/", strlen ("/lodge/")) == 0)
     return (fleet_work_t){ uploads->slow ? UPLOAD_WORK_US * SLOW_FACTOR
                                          : UPLOAD_WORK_US,
-                           READ_BYTES };
-  return (fleet_work_t){ READ_WORK_US, READ_BYTES };
+                           READ_BYTES, 0 };
+  return (fleet_work_t){ READ_WORK_US, READ_BYTES, 0 };
 }
 
 static void
--- a/review/standin-2/case_kept.c
+++ b/review/standin-2/case_kept.c
@@ -60,8 +60,8 @@
   (void)ctx;
   (void)at;
   if (strncmp (target, "/book/", strlen ("/book/")) == 0)
-    return (fleet_work_t){ BOOKING_WORK_US, REPLY_BYTES };
-  return (fleet_work_t){ READ_WORK_US, READ_BYTES };
+    return (fleet_work_t){ BOOKING_WORK_US, REPLY_BYTES, 0 };
+  return (fleet_work_t){ READ_WORK_US, READ_BYTES, 0 };
 }
 
 static void
--- a/review/standin-2/fleet.c
+++ b/review/standin-2/fleet.c
@@ -54,7 +54,7 @@
   sidecar_t *at;
   http_exchange_t *http;
   char attempt_id[64];
-  size_t reply_bytes;
+  fleet_work_t work;
   ev_timer timer;
 } run_at_server_t;
 
@@ -140,8 +140,19 @@
                        run->attempt_id, run->attempt_id, at->running,
                        at->fleet->plan.slots);
   run->http->user_data = NULL;
-  http_respond (run->http, 200, headers, (size_t)size,
-                filler (at->fleet, run->reply_bytes), run->reply_bytes);
+  const char *body = filler (at->fleet, run->work.reply_bytes);
+  if (run->work.break_off_bytes > 0)
+    {
+      fleet_note (at->fleet, "%s: server %d breaks its answer off",
+                  run->attempt_id, at->number);
+      http_start_response (run->http, 200, headers, (size_t)size,
+                           (int64_t)run->work.reply_bytes);
+      http_write_body (run->http, body, run->work.break_off_bytes);
+      http_abort_response (run->http);
+    }
+  else
+    http_respond (run->http, 200, headers, (size_t)size, body,
+                  run->work.reply_bytes);
   free (run);
 }
 
@@ -176,9 +187,7 @@
   run_at_server_t *run = calloc (1, sizeof *run);
   if (run == NULL)
     abort ();
-  *run = (run_at_server_t){ .at = at,
-                            .http = http,
-                            .reply_bytes = work.reply_bytes };
+  *run = (run_at_server_t){ .at = at, .http = http, .work = work };
   snprintf (run->attempt_id, sizeof run->attempt_id, "%s", attempt_id);
   http->user_data = run;
   at->running++;
@@ -494,8 +503,8 @@
   [FLEET_UNSENT] = "no connection",
 };
 
-static void
-end_request (fleet_request_t *request, fleet_end_t end)
+void
+fleet_end_request (fleet_request_t *request, fleet_end_t end)
 {
   request->end = end;
   request->call = NULL;
@@ -527,7 +536,7 @@
 static void
 on_answer_end (void *ctx)
 {
-  end_request (ctx, FLEET_ANSWERED);
+  fleet_end_request (ctx, FLEET_ANSWERED);
 }
 
 static void
@@ -539,14 +548,11 @@
                     : failure == HTTP_FAILURE_NO_SOCKET ? FLEET_UNSENT
                     : failure == HTTP_FAILURE_DEADLINE  ? FLEET_LEFT
                                                         : FLEET_CUT;
-  end_request (request, end);
+  fleet_end_request (request, end);
 }
 
-const fleet_request_t *
-fleet_send (fleet_t *fleet, int at, const char *method, const char *path,
-            size_t body_bytes, uint32_t timeout_ms,
-            void (*on_end) (void *ctx, const fleet_request_t *request),
-            void *ctx)
+fleet_request_t *
+fleet_add_request (fleet_t *fleet, int at, const char *path)
 {
   if (fleet->request_count == FLEET_REQUESTS_MAX)
     return NULL;
@@ -555,10 +561,29 @@
                                 .number = fleet->request_count++,
                                 .at = at,
                                 .path = path,
-                                .body_bytes = body_bytes,
-                                .sent_us = fleet->loop.now_us,
-                                .on_end = on_end,
-                                .ctx = ctx };
+                                .sent_us = fleet->loop.now_us };
+  fleet_note (fleet, "a%u: %s to sidecar %d", request->number, path, at);
+  return request;
+}
+
+endpoint_addr_t
+fleet_callers_addr (const fleet_t *fleet, int at)
+{
+  return fleet->sidecars[at].callers;
+}
+
+const fleet_request_t *
+fleet_send (fleet_t *fleet, int at, const char *method, const char *path,
+            size_t body_bytes, uint32_t timeout_ms,
+            void (*on_end) (void *ctx, const fleet_request_t *request),
+            void *ctx)
+{
+  fleet_request_t *request = fleet_add_request (fleet, at, path);
+  if (request == NULL)
+    return NULL;
+  request->body_bytes = body_bytes;
+  request->on_end = on_end;
+  request->ctx = ctx;
   bytes_t head = { 0 };
   bytes_append_format (&head,
                        "%s %s HTTP/1.1\r\nHost: shop.example\r\n"
@@ -567,8 +592,8 @@
   if (body_bytes > 0)
     bytes_append_format (&head, "Content-Length: %zu\r\n", body_bytes);
   bytes_append_text (&head, "\r\n");
-  fleet_note (fleet, "a%u: %s %s of %zu bytes to sidecar %d, %u ms",
-              request->number, method, path, body_bytes, at, timeout_ms);
+  fleet_note (fleet, "a%u: %s, %zu bytes, %u ms", request->number, method,
+              body_bytes, timeout_ms);
   http_request_t call
       = { .head = bytes_data (&head),
           .head_size = bytes_size (&head),
--- a/review/standin-2/fleet.h
+++ b/review/standin-2/fleet.h
@@ -30,6 +30,8 @@
 {
   int64_t work_us;
   size_t reply_bytes;
+  /* Breaks its answer off after this many bytes of the body; 0 is not.  */
+  size_t break_off_bytes;
 } fleet_work_t;
 
 /* How a caller's request ended.  */
@@ -96,6 +98,14 @@
             void (*on_end) (void *ctx, const fleet_request_t *request),
             void *ctx);
 
+/* Adds a request that the case itself sends and whose end it notes with
+   fleet_end_request.  Returns NULL when too many were sent.  */
+fleet_request_t *fleet_add_request (fleet_t *fleet, int at, const char *path);
+void fleet_end_request (fleet_request_t *request, fleet_end_t end);
+
+/* Returns the address that sidecar AT takes callers' requests on.  */
+endpoint_addr_t fleet_callers_addr (const fleet_t *fleet, int at);
+
 const fleet_request_t *fleet_request (const fleet_t *fleet, uint32_t number);
 uint32_t fleet_request_count (const fleet_t *fleet);
 
