--- a/review/standin-2/fleet.h
+++ b/review/standin-2/fleet.h
@@ -71,6 +71,7 @@
   const char *config; /* the operator's document */
   uint32_t slots;     /* of each backend server */
   uint32_t memory_mb; /* of each sidecar */
+  const char *key;    /* API key of the callers; NULL is none */
   fleet_work_t (*work) (void *ctx, int at, const char *target);
   void *ctx; /* borrowed */
 } fleet_plan_t;
@@ -86,6 +87,10 @@
 loop_t *fleet_loop (fleet_t *fleet);
 fake_store_t *fleet_store (fleet_t *fleet);
 
+/* The connections that are open to the store go silent for good, without a
+   reset; new ones work.  */
+void fleet_silence_store_connections (fleet_t *fleet);
+
 /* Serves for US.  */
 void fleet_run (fleet_t *fleet, int64_t us);
 
