--- a/review/standin-2/fleet.c
+++ b/review/standin-2/fleet.c
@@ -165,8 +165,12 @@
 {
   run_at_server_t *run = http->user_data;
   sidecar_t *at = ctx;
+  uint32_t number;
   if (run == NULL)
     return;
+  if (sscanf (run->attempt_id, "a%u", &number) == 1
+      && number < at->fleet->request_count)
+    at->fleet->requests[number].broken_off = true;
   fleet_note (at->fleet, "%s: server %d drops it", run->attempt_id,
               at->number);
   ev_timer_stop (at->fleet->loop.ev, &run->timer);
@@ -183,7 +187,10 @@
                                         bytes_data (&http->target));
   if (sscanf (attempt_id, "a%u", &number) == 1
       && number < fleet->request_count)
-    fleet->requests[number].runs++;
+    {
+      fleet->requests[number].runs++;
+      fleet->requests[number].run_us = fleet->loop.now_us;
+    }
   fleet_note (fleet, "%s: server %d runs it for %lld ms, %u running",
               attempt_id, at->number, (long long)(work.work_us / US_PER_MS),
               at->running + 1);
@@ -522,9 +529,9 @@
 on_answer_head (void *ctx, int status, const fields_t *fields, int64_t length)
 {
   fleet_request_t *request = ctx;
-  (void)fields;
   (void)length;
   request->status = status;
+  request->has_signature = fields_find (fields, "X-Server-Signature") != NULL;
   return HTTP_VERDICT_ACCEPT;
 }
 
@@ -659,6 +666,14 @@
   relay_set_fault (fleet->store_path, RELAY_MUTE_OLD);
 }
 
+void
+fleet_terminate (fleet_t *fleet, int at)
+{
+  fleet_note (fleet, "SIGTERM for sidecar %d", at);
+  if (fleet->sidecars[at].pid != 0)
+    kill (fleet->sidecars[at].pid, SIGTERM);
+}
+
 static void
 on_end_timer (struct ev_loop *ev, ev_timer *timer, int events)
 {
--- a/review/standin-2/fleet.h
+++ b/review/standin-2/fleet.h
@@ -57,7 +57,10 @@
   fleet_end_t end;
   int status;
   size_t reply_bytes;
+  bool has_signature; /* the answer is a server's */
   uint32_t runs;
+  int64_t run_us;  /* when its last run began */
+  bool broken_off; /* a run ended before its time, with its connection */
   http_call_t *call;
   void (*on_end) (void *ctx, const struct fleet_request_t *request);
   void *ctx;
@@ -91,6 +94,10 @@
    reset; new ones work.  */
 void fleet_silence_store_connections (fleet_t *fleet);
 
+/* Sends SIGTERM to sidecar AT, which the platform starts again once it has
+   ended.  Its backend server goes on.  */
+void fleet_terminate (fleet_t *fleet, int at);
+
 /* Serves for US.  */
 void fleet_run (fleet_t *fleet, int64_t us);
 
