--- a/review/standin-2/fleet.c
+++ b/review/standin-2/fleet.c
@@ -12,7 +12,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include "support_relay.h"
+#include "support_store.h"
 
 enum
 {
@@ -68,7 +68,6 @@
   int64_t started_us;
   char dir[256];
   fake_store_t *store;
-  relay_t *store_path; /* from the sidecars to the store */
   sidecar_t sidecars[FLEET_SIDECARS_MAX];
   int reserved[ADDRS_MAX]; /* sockets */
   uint32_t reserved_count;
@@ -294,7 +293,7 @@
            "\"descriptors_max\":4100,\"memory_mb\":%u}\n",
            at->number, fleet->plan.services[at->number], at->callers.port,
            at->ready.port, at->announce.port, at->peer.port, at->metrics.port,
-           at->backend_addr.port, relay_port (fleet->store_path),
+           at->backend_addr.port, fake_store_port (fleet->store),
            fleet->plan.memory_mb);
   fclose (file);
 }
@@ -599,8 +598,6 @@
                        "%s %s HTTP/1.1\r\nHost: shop.example\r\n"
                        "X-Attempt-Id: a%u\r\nX-Timeout-Ms: %u\r\n",
                        method, path, request->number, timeout_ms);
-  if (fleet->plan.key != NULL)
-    bytes_append_format (&head, "X-Credential: %s\r\n", fleet->plan.key);
   if (body_bytes > 0)
     bytes_append_format (&head, "Content-Length: %zu\r\n", body_bytes);
   bytes_append_text (&head, "\r\n");
@@ -653,19 +650,6 @@
   return &fleet->loop;
 }
 
-fake_store_t *
-fleet_store (fleet_t *fleet)
-{
-  return fleet->store;
-}
-
-void
-fleet_silence_store_connections (fleet_t *fleet)
-{
-  fleet_note (fleet, "the open connections to the store go silent");
-  relay_set_fault (fleet->store_path, RELAY_MUTE_OLD);
-}
-
 void
 fleet_terminate (fleet_t *fleet, int at)
 {
@@ -782,9 +766,6 @@
   fleet->started_us = clock_now_us (fleet->loop.clock);
   start_timer (fleet, &fleet->end, on_end_timer, 0);
   fleet->store = fake_store_new (&fleet->loop);
-  fleet->store_path = relay_new (
-      &fleet->loop,
-      (endpoint_addr_t){ INADDR_LOOPBACK, fake_store_port (fleet->store) });
   if (start_fleet (fleet))
     return fleet;
   fprintf (stderr, "the fleet did not become ready; its logs are in %s\n",
@@ -832,7 +813,6 @@
       http_client_free (at->announcer);
       http_client_free (at->checker);
     }
-  relay_free (fleet->store_path);
   fake_store_free (fleet->store);
   remove_files (fleet);
   for (uint32_t i = 0; i < fleet->reserved_count; i++)
--- a/review/standin-2/fleet.h
+++ b/review/standin-2/fleet.h
@@ -12,8 +12,6 @@
 #include "edge/http_client.h"
 #include "edge/http_server.h"
 #include "edge/loop.h"
-#include "support_store.h"
-
 enum
 {
   FLEET_SIDECARS_MAX = 8,
@@ -74,7 +72,6 @@
   const char *config; /* the operator's document */
   uint32_t slots;     /* of each backend server */
   uint32_t memory_mb; /* of each sidecar */
-  const char *key;    /* API key of the callers; NULL is none */
   fleet_work_t (*work) (void *ctx, int at, const char *target);
   void *ctx; /* borrowed */
 } fleet_plan_t;
@@ -88,11 +85,6 @@
 void fleet_free (fleet_t *fleet);
 
 loop_t *fleet_loop (fleet_t *fleet);
-fake_store_t *fleet_store (fleet_t *fleet);
-
-/* The connections that are open to the store go silent for good, without a
-   reset; new ones work.  */
-void fleet_silence_store_connections (fleet_t *fleet);
 
 /* Sends SIGTERM to sidecar AT, which the platform starts again once it has
    ended.  Its backend server goes on.  */
